A vote passes on in one change, also to a keeper at a new address

Cause: at a new address the newcomer was added before the lost one was taken away. For at least 200 ms there were four voters, one of them dead: one more loss then stopped the log although two of the intended three lived.

Now one entry names both: who votes from its commit on and who did until then. Until it is known to be committed, majorities of both are needed for everything; from then on the new count alone, told at once. A later entry tidies up.

Left: the round in which the entry itself is being committed; there two of the former three are needed, as ever.

--- a/src/keeper/feed.c
+++ b/src/keeper/feed.c
@@ -18,7 +18,7 @@
  * none may the next be taken away. */
 static void add_voter(struct feed *feed, const struct log_member *m, int inOther)
 {
-    if (!m->voter)
+    if (!log_votes(m))
         return;
     *list_more(feed->voters, feed->nVoters) = m->addr;
     *list_more(feed->voters, feed->nVoters) = 1 + inOther;
--- a/src/keeper/keeper.c
+++ b/src/keeper/keeper.c
@@ -224,7 +224,7 @@
     for (int64_t i = 0; i < log->members.n; i++)
         json_array_append_new(members,
                               json_pack("{s:s,s:b}", "addr", addr_text((uint64_t)log->members.members[i].addr),
-                                        "voter", (int)log->members.members[i].voter));
+                                        "voter", log_votes(&log->members.members[i])));
     return json_pack("{s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:b,s:o}", "log", log->name, "role", roles[log->role], "term",
                      (json_int_t)log->term, "last", (json_int_t)log_last(log), "commit", (json_int_t)log->commit,
                      "digest", (json_int_t)log->digestIndex, "syncs", (json_int_t)log->syncs, "lastSyncMs",
--- a/src/keeper/replace.c
+++ b/src/keeper/replace.c
@@ -54,10 +54,12 @@
 {
     const struct log_member *gone = NULL, *learner = NULL, *lost = NULL;
     int64_t voters = 0;
+    if (log_settle(log) != P_NO_SUCH)
+        return;
     for (int64_t i = 0; i < log->members.n; i++) {
         const struct log_member *m = &log->members.members[i];
-        voters += m->voter != 0;
-        if (m->voter && is_gone(k, log, m))
+        voters += log_votes(m);
+        if (log_votes(m) && is_gone(k, log, m))
             gone = m;
         else if (!m->voter && is_gone(k, log, m))
             lost = m;
@@ -75,8 +77,11 @@
             return;
         }
     }
-    /* add before removing: meanwhile no fewer than a majority of three stands */
-    if (learner && (voters < VOTERS || (gone && voters == VOTERS))) {
+    if (learner && gone && voters == VOTERS) {
+        log_exchange(log, gone->id, learner->id);
+        return;
+    }
+    if (learner && voters < VOTERS) {
         log_change(log, learner->id, learner->addr, learner->zone, 1, 0);
         return;
     }
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -182,8 +182,11 @@
         index--;
     if (index <= log->commit || log_term_at(log, index) != log->term)
         return;
+    int changed = log->membersIndex > log->commit && log->membersIndex <= index;
     log->commit = index;
     log_apply(log);
+    if (changed)                 /* who votes from now on learns it at once */
+        log_copy_all(log, 1);
     /* a leader that has left the voters by a committed change steps down */
     if (log->membersIndex <= log->commit && !log_voter(log, log->id))
         log_follow(log, log->term, 0);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -15,10 +15,16 @@
     struct bytes body;
 };
 
+/* A change of voters in one entry names both: who votes from its commit on, and
+ * who did until then. Invariant: while that entry is not known to be committed,
+ * majorities of both are needed for everything. */
+enum log_vote_right { VOTES_NOT, VOTES, VOTED, VOTES_NEWLY };
+
 struct log_member {
-    int64_t id, addr, voter;
+    int64_t id, addr, voter;     /* enum log_vote_right */
     char *zone;
 };
+static inline int log_votes(const struct log_member *m) { return m->voter == VOTES || m->voter == VOTES_NEWLY; }
 
 struct log_members {
     struct log_member *members;
@@ -159,7 +165,9 @@
 int log_quorum(const struct log *log, int (*has)(const struct log *log, int64_t id, int64_t x), int64_t x);
 void log_members_refresh(struct log *log);
 struct log_sibling *log_sibling(struct log *log, int64_t id);
-int log_replace(struct log *log, int64_t goneId, int64_t freshId);
+int log_replace(struct log *log, int64_t goneId, int64_t freshId);       /* its disk is gone for good */
+int log_exchange(struct log *log, int64_t goneId, int64_t freshId);      /* it may come back */
+int log_settle(struct log *log);               /* after an exchange: 0 once there was something to settle */
 int log_change(struct log *log, int64_t id, int64_t addr, const char *zone, int voter, int gone);
 
 /* log_store.c, log_digest.c */
--- a/src/log/log_elect.c
+++ b/src/log/log_elect.c
@@ -65,7 +65,7 @@
                                .pre = pre, .transfer = transfer};
     for (int64_t i = 0; i < log->members.n; i++) {
         ask.to = log->members.members[i].id;
-        if (ask.to != log->id && log->members.members[i].voter)
+        if (ask.to != log->id && log_voter(log, ask.to))
             log_send(log, ask.to, FRAME_VOTE_ASK, &logVoteAskShape, &ask);
     }
     log_election_reset(log);
--- a/src/log/log_member.c
+++ b/src/log/log_member.c
@@ -13,27 +13,35 @@
     return NULL;
 }
 
+/* Is the newest change of members still under way, as far as we know? */
+static int changing(const struct log *log) { return log->membersIndex > log->commit; }
+
 int log_voter(const struct log *log, int64_t id)
 {
     const struct log_member *member = log_member(log, id);
-    return member && member->voter;
+    return member && (log_votes(member) || (member->voter == VOTED && changing(log)));
 }
 
 int64_t log_majority(const struct log *log)
 {
     int64_t voters = 0;
     for (int64_t i = 0; i < log->members.n; i++)
-        voters += log->members.members[i].voter != 0;
+        voters += log_votes(&log->members.members[i]);
     return voters / 2 + 1;
 }
 
 int log_quorum(const struct log *log, int (*has)(const struct log *log, int64_t id, int64_t x), int64_t x)
 {
-    int64_t n = 0;
-    for (int64_t i = 0; i < log->members.n; i++)
-        if (log->members.members[i].voter && has(log, log->members.members[i].id, x))
-            n++;
-    return log->members.n && n >= log_majority(log);
+    int64_t n = 0, former = 0, nFormer = 0;
+    for (int64_t i = 0; i < log->members.n; i++) {
+        const struct log_member *m = &log->members.members[i];
+        int did = m->voter == VOTES || m->voter == VOTED, does = log_votes(m);
+        int yes = (did || does) && has(log, m->id, x);
+        n += does && yes;
+        former += did;
+        nFormer += did && yes;
+    }
+    return log->members.n && n >= log_majority(log) && (!changing(log) || nFormer >= former / 2 + 1);
 }
 
 struct log_sibling *log_sibling(struct log *log, int64_t id)
@@ -100,7 +108,8 @@
         return rc;
     shape_copy(&logMembersShape, &next, &log->members);
     for (int64_t i = 0; i < next.n; i++) {
-        next.members[i].voter |= next.members[i].id == freshId;
+        if (next.members[i].id == freshId)
+            next.members[i].voter = VOTES;
         if (next.members[i].id != goneId)
             continue;
         free(next.members[i].zone);
@@ -112,6 +121,50 @@
     return P_OK;
 }
 
+/* One entry passes the vote from one that may still come back to another. It is
+ * committed by a majority of the former voters and one of the new; from then on
+ * only the new count. A former voter that slept through it finds no majority: each
+ * of the former shares a voter with those that committed it. Weighed: two changes
+ * (four voters for a while, where one more loss stops the log although two of the
+ * intended three live). */
+int log_exchange(struct log *log, int64_t goneId, int64_t freshId)
+{
+    struct log_members next = {0};
+    int rc = may_change(log);
+    if (rc)
+        return rc;
+    shape_copy(&logMembersShape, &next, &log->members);
+    for (int64_t i = 0; i < next.n; i++) {
+        struct log_member *m = &next.members[i];
+        m->voter = m->id == goneId ? VOTED : m->id == freshId ? VOTES_NEWLY : m->voter;
+    }
+    world_note(log->w, EV_MEMBER_CHANGE, "log=%s exchanged=%llx fresh=%llx", log->name, (unsigned long long)goneId,
+               (unsigned long long)freshId);
+    propose_members(log, &next);
+    return P_OK;
+}
+
+int log_settle(struct log *log)
+{
+    struct log_members next = {0};
+    int unsettled = 0, rc = may_change(log);
+    for (int64_t i = 0; i < log->members.n; i++)
+        unsettled |= log->members.members[i].voter > VOTES;
+    if (!unsettled || rc)
+        return unsettled ? rc : P_NO_SUCH;
+    shape_copy(&logMembersShape, &next, &log->members);
+    for (int64_t i = 0; i < next.n; i++) {
+        if (next.members[i].voter == VOTES_NEWLY)
+            next.members[i].voter = VOTES;
+        if (next.members[i].voter != VOTED)
+            continue;
+        free(next.members[i].zone);
+        next.members[i--] = next.members[--next.n];
+    }
+    propose_members(log, &next);
+    return P_OK;
+}
+
 int log_change(struct log *log, int64_t id, int64_t addr, const char *zone, int voter, int gone)
 {
     struct log_members next = {0};
