Preemption off leaving executors; standing still by progress; added fields are read over

Cause: DESIGN's nack ("the node's own preemption counts as a nack") did not exist: what ran on an executor that left was lost with it, under at-most-once its job failed. Work that stood still was found by runMaxMs, an hour by default. Any field added to a frame or record made other versions drop it.

- Preemption: on an executor that says it leaves, or that the calendar drains, work is stopped preemptMs before the moment and, once its executor says it has stopped, runs elsewhere; no failure is counted.
The decision is committed (OP_PREEMPT) before the stop, so a new owner knows why it was stopped; gangs move whole; the queue's preempt turns it off; no proof, no second run.
- Progress: executors may report a mark for each task; stillness is added up over what was seen, so a sleep is not taken for it.
After stallMs (30 s) the task is stopped and its executor shut out as after failures, whatever it claims.
- Versions: fields are only added at the end; missing ones keep zero, further ones are skipped.
A new kind of record is written only once every live sibling says it knows it (level in the news of members).

Also: a leak in the closing check of a planted breach; two test files split.

--- a/sim/close.c
+++ b/sim/close.c
@@ -79,7 +79,9 @@
     const struct accepted *late = unsettled(sim);
     if (late) {
         const struct job *job = sim_job(sim, late->job);
-        char *text = json_dumps(job_view(job, 1), JSON_COMPACT);
+        json_t *view = job_view(job, 1);
+        char *text = json_dumps(view, JSON_COMPACT);
+        json_decref(view);
         oracle_breach(o, "job %lld is left standing at the end of the day: %.200s", (long long)late->job, text);
         free(text);
     }
--- a/src/base/shape.c
+++ b/src/base/shape.c
@@ -8,7 +8,7 @@
 
 /* Invariant: nesting in bytes from outside is cut off at this depth; no shape
  * of ours nests deeper. */
-enum { DEPTH_MAX = 12 };
+enum { DEPTH_MAX = 12, ADDED_MAX = 64 };
 
 static void *at_off(const void *base, size_t off) { return (char *)(uintptr_t)base + off; }
 static int64_t *count_at(const struct field *f, const void *base) { return at_off(base, f->countOff); }
@@ -248,14 +248,31 @@
     return P_BAD_FRAME;
 }
 
+/* What a newer version added: read over, whatever it is. */
+static int skip(struct cursor *cur, int depth)
+{
+    struct item it;
+    if (depth > DEPTH_MAX || next_item(cur, &it))
+        return P_BAD_FRAME;
+    for (int64_t i = 0; it.kind == I_ARRAY && i < it.value; i++)
+        if (skip(cur, depth + 1))
+            return P_BAD_FRAME;
+    return P_OK;
+}
+
+/* Fields are only ever added, at the end: those an older version did not send keep
+ * their zero, those a newer one added are skipped. See docs/versions.md. */
 static int take_shape(const struct shape *shape, void *to, struct cursor *cur, int depth)
 {
     struct item it;
-    if (depth > DEPTH_MAX || next_item(cur, &it) || it.kind != I_ARRAY || it.value != shape->n)
+    if (depth > DEPTH_MAX || next_item(cur, &it) || it.kind != I_ARRAY || !it.value || it.value > shape->n + ADDED_MAX)
         return P_BAD_FRAME;
-    for (int i = 0; i < shape->n; i++)
+    for (int i = 0; i < shape->n && i < it.value; i++)
         if (take_field(&shape->fields[i], to, cur, depth))
             return P_BAD_FRAME;
+    for (int64_t i = shape->n; i < it.value; i++)
+        if (skip(cur, depth + 1))
+            return P_BAD_FRAME;
     return P_OK;
 }
 
--- a/src/charter/params.h
+++ b/src/charter/params.h
@@ -9,6 +9,7 @@
 struct params {
     /* queues */
     int64_t atLeastOnce, attemptsMax, licenceMs, backoffMs, backoffMaxMs, runMaxMs, ttlMs, keepMs;
+    int64_t stallMs, preempt, preemptMs;
     int64_t priority, payloadMax, queuedMax, weight, agePerSecond;
     /* the whole fleet */
     int64_t breakerWindowMs, breakerSlowMs, breakerErrorsPct, breakerLeast, breakerOpenMs;
--- a/src/executor/executor.c
+++ b/src/executor/executor.c
@@ -73,6 +73,8 @@
         s.freeCores -= e->work[i].task.cores;
         s.freeMb -= e->work[i].task.memMb;
         *list_more(s.running, s.nRunning) = e->work[i].task;
+        const struct exec_work *work = &e->work[i];
+        s.running[i].progress = work->held || work->stalls ? 0 : world_ms(e->w) - (work->endMs - work->lastsMs);
         s.running[i].state = e->work[i].held ? "held" : e->work[i].stopMs ? "stopping" : "running";
     }
     s.ended = e->ended;
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -235,6 +235,7 @@
         }
     }
     row->licenceMs = s->licenceMs;
+    row->stallMs = s->stallMs;
     /* its room was reserved; what the executor gave to others since then is gone all the same */
     account_room(home, &cores, &memMb);
     if (cores < 0 || memMb < 0) {
--- a/src/home/home.h
+++ b/src/home/home.h
@@ -9,6 +9,7 @@
 
 struct exec_task {
     int64_t job, no, attempt, cores, memMb;
+    int64_t progress;            /* only grows while the work goes on; -1: it has no mark */
     char *state;                 /* held, running, stopping; done, failed, stopped, lapsed, unstarted */
     char *why;
 };
@@ -29,7 +30,7 @@
 
 /* hold: keep the room and wait for a go; gangs start so. */
 struct exec_start {
-    int64_t job, no, attempt, cores, memMb, licenceMs, hold;
+    int64_t job, no, attempt, cores, memMb, licenceMs, hold, stallMs;
     char *service, *queue, *kind, *payload;
 };
 struct exec_renew {
@@ -58,6 +59,7 @@
     int64_t nServices;
     int64_t home, epoch, incarnation, state, cores, memMb, freeCores, freeMb;
     int64_t wanted;              /* room is kept for work this urgent; INT64_MAX: for any */
+    int64_t leaveMs;             /* fleet time at which it leaves; 0: it does not */
     int64_t addr;                /* where it takes orders: the next home speaks with it at once */
     /* of the reader's memory only; slowPct: how long its work takes against its queue's, 100 as others */
     int64_t seenMs, slowPct;
@@ -121,6 +123,7 @@
 struct account {
     struct task_ref ref;
     int64_t state, sinceMs, licenceMs, inState, outcome, toldMs, stopAsked, goAsked;
+    int64_t progress, stillMs, markedMs, stallMs, stalled;       /* how long no progress was seen */
     int64_t offeredTicket;       /* the newest ticket its start went out with; 0: it never did */
     struct exec_start *start;    /* while ACC_STARTING */
     char *why;
@@ -133,7 +136,7 @@
     char *name;
     int64_t epoch, held, opened, startedMs;
     struct exec_state state;
-    int64_t addr, incarnation, serial, ticketMs, heardMs;
+    int64_t addr, incarnation, serial, ticketMs, heardMs, leaveMs;
     /* the most urgent reservation lately denied for lack of room */
     int64_t wantUrgency, wantCores, wantMb, wantUntilMs;
     int64_t calling, callDueMs, dirty, silent, gone, misses;
@@ -177,6 +180,7 @@
 void home_take_state(struct node *node, struct home *home, struct exec_state *state, int answered);
 void home_call(struct node *node, struct home *home);
 void home_health(struct node *node, struct home *home, int64_t outcome);
+void home_shut_out(struct node *node, struct home *home);      /* for quarantineMs, unless half of its kind is */
 int64_t home_room_state(struct node *node, struct home *home);
 void home_tell_rooms(struct node *node);
 #endif
--- a/src/home/home_account.c
+++ b/src/home/home_account.c
@@ -6,6 +6,8 @@
 #include "home/home.h"
 #include "node/node.h"
 
+enum { STILL_STEP_MS = 2000 };
+
 void account_free(struct account *row)
 {
     if (row->start) {
@@ -88,14 +90,14 @@
     if (row->state == ACC_ENDED)
         return;
     if (row->state >= ACC_STARTING)
-        home_health(node, home, outcome);
+        home_health(node, home, outcome == OUT_STOPPED && row->stalled ? OUT_FAILED : outcome);
     static const char *const outcomes[] = {"done", "failed", "stopped", "lapsed", "unstarted", "gone"};
     node_tell(node, row->ref.job, row->ref.no, row->ref.attempt, outcomes[outcome], home->name);
     row->state = ACC_ENDED;
     row->outcome = outcome;
     row->toldMs = 0;
     free(row->why);
-    row->why = must_dup(why);
+    row->why = must_dup(row->stalled && outcome == OUT_STOPPED ? "stood still and was stopped" : why);
     node->roomsDueMs = 0;
 }
 
@@ -124,6 +126,29 @@
     return row;
 }
 
+/* Judged by progress, over what was seen of it, so that a sleep of the executor or
+ * a silence of ours is not taken for a standstill. */
+static void watch_progress(struct node *node, struct home *home, struct account *row, int64_t progress)
+{
+    int64_t nowMs = world_ms(node->w), sinceMs = nowMs - row->markedMs;
+    int first = !row->markedMs;
+    row->markedMs = nowMs;
+    if (first || progress > row->progress || progress < 0) {
+        row->progress = progress;
+        row->stillMs = 0;
+        return;
+    }
+    row->stillMs += sinceMs < STILL_STEP_MS ? sinceMs : STILL_STEP_MS;
+    if (row->stillMs < (row->stallMs ? row->stallMs : node->rootParams.stallMs) || row->stopAsked)
+        return;
+    world_note(node->w, EV_TASK_STILL, "executor=%s job=%lld no=%lld stillMs=%lld", home->name,
+               (long long)row->ref.job, (long long)row->ref.no, (long long)row->stillMs);
+    node_tell(node, row->ref.job, row->ref.no, row->ref.attempt, "stands still, stop ordered", home->name);
+    row->stalled = row->stopAsked = 1;
+    home->dirty = 1;
+    home_shut_out(node, home);
+}
+
 /* Folds the executor's own lists into the account. */
 void account_merge(struct node *node, struct home *home)
 {
@@ -136,6 +161,8 @@
         const char *now = s->running[i].state ? s->running[i].state : "";
         int64_t was = row->state;
         row->state = !strcmp(now, "held") ? ACC_HELD : !strcmp(now, "stopping") ? ACC_STOPPING : ACC_RUNNING;
+        if (row->state == ACC_RUNNING)
+            watch_progress(node, home, row, s->running[i].progress);
         if (row->state != was)
             node_tell(node, row->ref.job, row->ref.no, row->ref.attempt, now[0] == 'h' ? "held" : "running", home->name);
         if (row->state != was && (row->state == ACC_HELD || was == ACC_HELD))
--- a/src/home/home_orders.c
+++ b/src/home/home_orders.c
@@ -30,7 +30,7 @@
 void home_health(struct node *node, struct home *home, int64_t outcome)
 {
     const struct params *p = &node->rootParams;
-    int64_t all = 0, bad = 0;
+    int64_t bad = 0;
     if (outcome != OUT_DONE && outcome != OUT_FAILED)
         return;
     home->window = home->window << 1 | (outcome == OUT_FAILED);
@@ -43,7 +43,15 @@
     int again = home->probation > 0 && outcome == OUT_FAILED;
     if (!again && (home->windowN < p->quarantineWindow / 2 || bad * 100 < home->windowN * p->quarantinePct))
         return;
-    if (!home->state.kind || others_quarantined(node, home->state.kind, &all) * 2 >= all)
+    home_shut_out(node, home);
+}
+
+void home_shut_out(struct node *node, struct home *home)
+{
+    const struct params *p = &node->rootParams;
+    int64_t all = 0;
+    if (!home->state.kind || others_quarantined(node, home->state.kind, &all) * 2 >= all ||
+        world_ms(node->w) < home->quarantineUntilMs)
         return;
     /* each time in a row twice as long, up to eight times */
     int64_t forMs = p->quarantineMs << (home->quarantines < 3 ? home->quarantines : 3);
@@ -92,6 +100,7 @@
         return;                  /* another home speaks with it under a higher epoch */
     shape_free(&execStateShape, &home->state);
     home->state = *state;
+    home->leaveMs = state->leaving ? node_fleet_ms(node) + (state->leavingInMs > 0 ? state->leavingInMs : 0) : 0;
     memset(state, 0, sizeof *state);
     home->incarnation = home->state.incarnation;
     home->serial = home->state.serial;
@@ -198,7 +207,7 @@
                               .home = (int64_t)node->w->self, .epoch = home->epoch,
                               .incarnation = home->incarnation, .state = home_room_state(node, home),
                               .cores = home->state.cores, .memMb = home->state.memMb,
-                              .addr = home->addr, .wanted = home->wantUntilMs > world_ms(node->w) ? home->wantUrgency : INT64_MAX};
+                              .addr = home->addr, .leaveMs = home->leaveMs, .wanted = home->wantUntilMs > world_ms(node->w) ? home->wantUrgency : INT64_MAX};
         account_room(home, &room->freeCores, &room->freeMb);
     }
     struct blob *frame = blob_new();     /* built once for all */
--- a/src/home/home_shapes.c
+++ b/src/home/home_shapes.c
@@ -2,7 +2,8 @@
 
 static const struct field taskFields[] = {
     INT(exec_task, job), INT(exec_task, no), INT(exec_task, attempt), INT(exec_task, cores), INT(exec_task, memMb),
-    STR(exec_task, state), STR(exec_task, why)};
+    STR(exec_task, state), STR(exec_task, why),
+    INT(exec_task, progress, .dflt = -1, .min = -1, .max = INT64_MAX)};
 SHAPE(execTaskShape, exec_task, taskFields);
 
 static const struct field stateFields[] = {
@@ -22,7 +23,7 @@
 static const struct field startFields[] = {
     INT(exec_start, job), INT(exec_start, no), INT(exec_start, attempt), INT(exec_start, cores),
     INT(exec_start, memMb), INT(exec_start, licenceMs), BOOL(exec_start, hold), STR(exec_start, service), STR(exec_start, queue),
-    STR(exec_start, kind), STR(exec_start, payload)};
+    STR(exec_start, kind), STR(exec_start, payload), INT(exec_start, stallMs)};
 static SHAPE(startShape, exec_start, startFields);
 
 static const struct field renewFields[] = {
@@ -41,7 +42,7 @@
     STR(room, executor), STR(room, kind), STR(room, rack), STRS(room, services, nServices), INT(room, home),
     INT(room, epoch), INT(room, incarnation), INT(room, state), INT(room, cores), INT(room, memMb),
     INT(room, freeCores), INT(room, freeMb), INT(room, wanted),
-    INT(room, addr)};
+    INT(room, addr), INT(room, leaveMs)};
 SHAPE(roomShape, room, roomFields);
 
 static const struct field roomsFields[] = {LIST(rooms_msg, rooms, n, roomShape)};
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -247,6 +247,12 @@
 void track_start(struct node *node, struct shard *shard, struct job *job, int64_t no);
 void track_on_ended(struct node *node, const struct ended *m);
 void track_on_checked(struct node *node, const struct checked *m);
+/* shard/preempt.c */
+void preempt_watch(struct node *node, struct shard *shard, const char *executor);
+void preempt_committed(struct node *node, struct shard *shard, struct job *job, const struct op *op);
+static inline int row_preempted(const struct row *row) { return row->preempted && row->preempted == row->attempt; }
+
+/* shard/track.c */
 void track_committed(struct node *node, struct shard *shard, const struct op *op);
 
 /* shard/enqueue.c */
--- a/src/shard/ready.c
+++ b/src/shard/ready.c
@@ -162,6 +162,7 @@
             row_limits(node, shard, job, i);
             if (job->rows[i].state == ROW_PLACED) {
                 *list_more(shard->placed, shard->nPlaced) = (struct task_ref){.job = id, .no = i};
+                job->rows[i].stopping = row_preempted(&job->rows[i]);       /* the stop goes on under a new owner */
                 ready_time(shard, job->rows[i].placedMs + node_params(node, job->queue)->runMaxMs, id, i);
             }
         }
--- a/src/shard/rows.c
+++ b/src/shard/rows.c
@@ -8,7 +8,7 @@
 static const struct field rowFields[] = {
     INT(row, state), INT(row, attempt), INT(row, failures), INT(row, dueMs), INT(row, incarnation),
     INT(row, homeEpoch), INT(row, licenceMs), INT(row, placedMs), INT(row, endedMs),
-    STR(row, executor), STR(row, meta)};
+    STR(row, executor), STR(row, meta), INT(row, preempted)};
 SHAPE(rowShape, row, rowFields);
 
 static const struct field jobFields[] = {
@@ -246,6 +246,21 @@
     return P_OK;
 }
 
+/* A gang moves whole. */
+static int fold_preempt(struct job *job, const struct op *op)
+{
+    int64_t step = 0;
+    if (op->no < 0 || op->no >= job->nRows || job->rows[op->no].state != ROW_PLACED ||
+        job->rows[op->no].attempt != op->attempt || job->state != JOB_ACTIVE)
+        return P_DENIED;
+    spec_task(&job->spec, op->no, &step);
+    int64_t first = spec_first(&job->spec, step), n = job->spec.steps[step].nTasks;
+    for (int64_t i = first; i < first + n; i++)
+        if (job->rows[i].state == ROW_PLACED && (i == op->no || job->spec.steps[step].gang))
+            job->rows[i].preempted = job->rows[i].attempt;
+    return P_OK;
+}
+
 int rows_fold(struct rows *rows, const struct op *op)
 {
     if (op->kind == OP_JOB)
@@ -273,6 +288,8 @@
         return P_DENIED;
     if (op->kind == OP_PLACED)
         return fold_placed(job, op);
+    if (op->kind == OP_PREEMPT)
+        return fold_preempt(job, op);
     if (op->kind == OP_END || op->kind == OP_NACK)
         return fold_ended(rows, job, op);
     if (op->kind != OP_CANCEL || job->state == JOB_CANCELLING)
--- a/src/shard/rows.h
+++ b/src/shard/rows.h
@@ -36,9 +36,10 @@
  * the state is ROW_PLACED. staged: an owner has work under way on it. */
 struct row {
     int64_t state, attempt, failures, dueMs, incarnation, homeEpoch, licenceMs, placedMs, endedMs;
+    int64_t preempted;           /* the attempt that was to be stopped for our sake, committed before the stop */
     char *executor, *meta;
     /* of the owner's memory only */
-    int64_t staged, stopping, checkedMs, indexed, gangMs, held, runs;
+    int64_t staged, stopping, preemptAsked, checkedMs, indexed, gangMs, held, runs;
 };
 
 /* Invariants: rows stand in the order of steps, then of tasks; id holds the
@@ -61,7 +62,7 @@
     char *executor;
 };
 
-enum op_kind { OP_JOB = 1, OP_REDIRECT, OP_PLACED, OP_END, OP_NACK, OP_CANCEL, OP_DROP, OP_ACK };
+enum op_kind { OP_JOB = 1, OP_REDIRECT, OP_PLACED, OP_END, OP_NACK, OP_CANCEL, OP_DROP, OP_ACK, OP_PREEMPT };
 
 struct op {
     int64_t kind, job, no, attempt, state, failed, dueMs, timeMs, toShard, bodyHash;
--- a/src/shard/track.c
+++ b/src/shard/track.c
@@ -32,7 +32,7 @@
     m.start = (struct exec_start){.job = job->id, .no = no, .attempt = row->attempt, .cores = task->cores,
                                   .memMb = task->memMb, .licenceMs = row->licenceMs, .service = job->spec.service,
                                   .queue = job->spec.queue, .kind = task->kind, .payload = task->payload,
-                                  .hold = gang_is(job, no)};
+                                  .hold = gang_is(job, no), .stallMs = node_params(node, job->queue)->stallMs};
     node_send(node, to, FRAME_START, &startOrderShape, &m);
 }
 
@@ -81,6 +81,7 @@
             continue;
         int64_t n = 0, nStops = 0;
         char *executor = must_dup(row->executor);
+        preempt_watch(node, shard, executor);
         for (int64_t k = i; k < shard->nPlaced; k++) {
             job = rows_job(&shard->rows, shard->placed[k].job);
             row = job ? &job->rows[shard->placed[k].no] : NULL;
@@ -119,12 +120,14 @@
 {
     struct row *row = &job->rows[no];
     const struct params *params = node_params(node, job->queue);
-    int64_t failed = outcome != OUT_DONE && outcome != OUT_UNSTARTED;
+    /* our own preemption, committed before the stop, and the executor's word that it has stopped: DESIGN's nack */
+    int preempted = outcome == OUT_STOPPED && row_preempted(row) && job->state == JOB_ACTIVE;
+    int64_t failed = outcome != OUT_DONE && outcome != OUT_UNSTARTED && !preempted;
     int64_t failures = row->failures + failed;
-    int mayRetry = outcome == OUT_UNSTARTED || outcome == OUT_FAILED || params->atLeastOnce;
+    int mayRetry = outcome == OUT_UNSTARTED || outcome == OUT_FAILED || preempted || params->atLeastOnce;
     int retry = mayRetry && job->state == JOB_ACTIVE && outcome != OUT_DONE &&
-                (outcome == OUT_UNSTARTED || failures < params->attemptsMax) &&
-                !(row->stopping && outcome == OUT_STOPPED && spec_task(&job->spec, no, NULL)->cutoffMs);
+                (!failed || failures < params->attemptsMax) &&
+                !(row->stopping && outcome == OUT_STOPPED && !preempted && spec_task(&job->spec, no, NULL)->cutoffMs);
     if (gang_is(job, no) && outcome != OUT_DONE && outcome != OUT_FAILED)
         gang_stop(node, shard, job, no);     /* it never ran, or ran no longer: the others neither */
     struct op *op = worker_buffer(node, shard, retry ? OP_NACK : OP_END, job->id, 0, 0);
@@ -132,7 +135,7 @@
     op->no = no;
     op->attempt = row->attempt;
     op->failed = failed;
-    op->meta = must_dup(why);
+    op->meta = must_dup(preempted ? "preempted: its executor was leaving or to be drained" : why);
     node_tell(node, job->id, no, row->attempt, retry ? "ended, to be tried again" : "ended", why ? why : "done");
     if (retry) {
         op->dueMs = node_fleet_ms(node) + (failed ? backoff(node, params, failures) : 50);
@@ -234,7 +237,11 @@
     if (!job || op->no >= job->nRows)
         return;
     struct row *row = &job->rows[op->no];
-    row->staged = row->stopping = 0;
+    if (op->kind == OP_PREEMPT) {
+        preempt_committed(node, shard, job, op);
+        return;
+    }
+    row->staged = row->stopping = row->preemptAsked = 0;
     if (op->kind == OP_END && op->state == ROW_DONE)
         assign_learn(node, job, op->no);
     if (row->executor && op->attempt == row->attempt) {
--- a/src/shard/worker.c
+++ b/src/shard/worker.c
@@ -80,6 +80,7 @@
         case OP_END:
         case OP_NACK:
         case OP_ACK:
+        case OP_PREEMPT:
             track_committed(node, shard, &b->op);
             break;
         default:
--- a/src/sibling/sibling.c
+++ b/src/sibling/sibling.c
@@ -10,7 +10,8 @@
 
 static const struct field newsFields[] = {
     INT(sibling_news, addr), INT(sibling_news, boot), INT(sibling_news, role), INT(sibling_news, http),
-    INT(sibling_news, state), INT(sibling_news, incarnation), INT(sibling_news, leaving), STR(sibling_news, zone)};
+    INT(sibling_news, state), INT(sibling_news, incarnation), INT(sibling_news, leaving), STR(sibling_news, zone),
+    INT(sibling_news, level)};
 SHAPE(siblingNewsShape, sibling_news, newsFields);
 
 static const struct field probeFields[] = {
@@ -26,7 +27,7 @@
 {
     *s = (struct siblings){.w = w, .cluster = cluster, .params = defaults};
     s->self = (struct sibling_news){.addr = (int64_t)w->self, .boot = boot, .role = role,
-                                    .http = (int64_t)w->httpAddr, .zone = must_dup(zone)};
+                                    .http = (int64_t)w->httpAddr, .zone = must_dup(zone), .level = LEVEL_NOW};
     siblings_seeds(s, seeds, nSeeds);
     s->medianMs = w->calls->wall_ms(w) - world_ms(w);
 }
@@ -58,6 +59,15 @@
     return (!boot || news->boot == boot) && news->state != SIB_DEAD && !news->leaving;
 }
 
+int64_t siblings_level(const struct siblings *s)
+{
+    int64_t level = s->self.level;
+    for (int64_t i = 0; i < s->n; i++)
+        if (s->all[i].news.state != SIB_DEAD && s->all[i].news.level < level)
+            level = s->all[i].news.level;
+    return level;
+}
+
 /* --- time ---------------------------------------------------------------- */
 
 static int by_value(const void *a, const void *b)
@@ -126,6 +136,9 @@
         state_changed(s, one);
         return;
     }
+    /* first heard of through one of an older version, which does not pass it on */
+    if (news->boot == one->news.boot && news->level > one->news.level)
+        one->news.level = news->level;
     if (!beats(news, &one->news))
         return;
     int told = news->state != one->news.state || news->leaving != one->news.leaving || news->boot != one->news.boot;
--- a/src/sibling/sibling.h
+++ b/src/sibling/sibling.h
@@ -5,6 +5,8 @@
 #define SAGEHITCH_SIBLING_H
 #include "base/frame.h"
 
+enum { LEVEL_PREEMPT = 1, LEVEL_NOW = LEVEL_PREEMPT };
+
 enum sibling_state { SIB_ALIVE, SIB_LEAVING, SIB_SUSPECT, SIB_DEAD };
 enum sibling_role { ROLE_NODE, ROLE_KEEPER };
 
@@ -13,6 +15,7 @@
 struct sibling_news {
     int64_t addr, boot, role, http, state, incarnation, leaving;
     char *zone;
+    int64_t level;               /* the newest kinds of records it knows; 0: it is of a version before levels */
 };
 
 /* Invariants: news.addr is unique in the list; offsetMs is the sibling's wall
@@ -64,5 +67,7 @@
 const struct sibling *siblings_find(const struct siblings *s, int64_t addr);
 /* Alive or suspected, same boot (0: any), not leaving. */
 int siblings_live(const struct siblings *s, int64_t addr, int64_t boot);
+/* The lowest level of all that are there: nothing newer may be written. */
+int64_t siblings_level(const struct siblings *s);
 int64_t siblings_fleet_ms(const struct siblings *s);
 #endif
--- /dev/null
+++ b/tests/sim/executor_room_test.cc
@@ -0,0 +1,173 @@
+// What executors say of their room, their place, their progress and their leaving.
+#include "executors.h"
+
+namespace {
+
+// Work whose progress mark does not move is found long before its run limit, by
+// whoever is home; the executor that holds it, healthy by its own word, gets no more.
+TEST(Executor, WorkThatStandsStillIsFoundByItsProgress)
+{
+    for (uint64_t seed : seeds(4)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        f.settings("root", "{\"stallMs\":4000}");
+        std::string slow = f.send("slow", "ms=9000");        // long, but it goes on
+        machine *e = f.some();
+        e->core.executor.stallPct = 100;
+        caller *load = sim_load(&f.s, 510, 14);
+        f.run(1500);
+        EXPECT_GT(e->core.executor.nWork, 0);    // struck
+        if (seed % 2)
+            sim_kill(sim_home(&f.s, e->name), 0);
+        f.run(9000);
+        int64_t shut = f.s.eventCounts[EV_TASK_STILL];
+        EXPECT_GT(shut, 0);
+        EXPECT_EQ(e->core.executor.nWork, 0);
+        EXPECT_NE(room_find(&f.any()->core.node, e->name)->state, ROOM_OPEN);
+        e->core.executor.stallPct = 0;
+        EXPECT_EQ(f.settle(load), 0);
+        EXPECT_EQ(sim_load_state(&f.s, "done") + sim_load_state(&f.s, "failed"), load->nJobs);
+        EXPECT_EQ(f.jobState(slow), "done");
+        EXPECT_EQ(f.breaches(), "");
+    }
+}
+
+// What cannot end before its executor leaves is stopped in time, its stop proven,
+// and runs elsewhere; the owner is killed in between on every other seed. Gangs move
+// whole; a queue may turn it off.
+TEST(Executor, WorkIsMovedOffAnExecutorThatLeaves)
+{
+    int64_t moved = 0;
+    for (uint64_t seed : seeds(6)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        f.settings("root/prices", "{\"preempt\":false}");
+        std::vector<std::string> ids, kept;
+        for (int i = 0; i < 22; i++)
+            ids.push_back(f.send("m" + std::to_string(i), "ms=9000"));
+        for (int i = 0; i < 3; i++) {
+            std::string body = "{\"key\":\"g" + std::to_string(i) + "\",\"service\":\"stock\",\"queue\":\"q\",\"steps\":[{\"name\":\"a\",\"gang\":true,\"perExecutor\":1,\"tasks\":[";
+            for (int t = 0; t < 5; t++)
+                body += std::string(t ? "," : "") + "{\"kind\":\"std\",\"payload\":\"ms=9000\"}";
+            ids.push_back(f.text(f.persist("POST", "/v1/jobs", body + "]}]}"), "id"));
+            body = "{\"key\":\"o" + std::to_string(i) + "\",\"service\":\"prices\",\"queue\":\"q\",\"steps\":[{\"name\":\"a\",\"tasks\":[{\"kind\":\"std\",\"payload\":\"ms=2000\"}]}]}";
+            kept.push_back(f.text(f.persist("POST", "/v1/jobs", body), "id"));
+        }
+        f.run(600);
+        machine *e = nullptr;
+        for (int i = 1; i <= 11; i++)
+            if (!e || f.executor(i)->core.executor.nWork > e->core.executor.nWork)
+                e = f.executor(i);
+        ASSERT_GT(e->core.executor.nWork, 0);
+        executor_leave(&e->core.executor, 5000);
+        f.run(2700);
+        if (seed % 2)                            // between the commit and the proof, or about then
+            sim_kill(f.at("node" + std::to_string(1 + sim_pick(&f.s, 15))), 0);
+        f.run(2200);
+        EXPECT_EQ(e->core.executor.nWork, 0);
+        sim_kill(e, 1);
+        moved += f.s.eventCounts[EV_PREEMPTED];
+        f.run(35000);
+        for (const std::string &id : ids)
+            EXPECT_EQ(f.jobState(id), "done") << f.persist("GET", "/v1/jobs/" + id, "").body.substr(0, 500);
+        for (const std::string &id : kept)
+            EXPECT_EQ(f.jobState(id), "done");
+        EXPECT_EQ(f.breaches(), "");
+    }
+    EXPECT_GT(moved, 0);
+}
+
+// Work that is not ours takes room and gives it back: judged by what was reported.
+TEST(Executor, RoomTakenByOthersIsNotOurs)
+{
+    for (uint64_t seed : seeds(4)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        caller *load = sim_load(&f.s, 1500, 15);
+        for (int i = 0; i < 120; i++) {
+            f.run(100);
+            machine *e = f.some();
+            sim_other(e, sim_pick(&f.s, 2) ? sim_pick(&f.s, 17) : 0);
+            if (i % 10 == 0)
+                f.send("long" + std::to_string(i), "ms=2500", "\"priority\":" + std::to_string(i) + ",");
+        }
+        for (int i = 1; i <= 11; i++)
+            sim_other(f.executor(i), 0);
+        EXPECT_EQ(f.settle(load), 0);
+        EXPECT_EQ(sim_load_state(&f.s, "done"), load->nJobs);
+        EXPECT_EQ(f.breaches(), "");
+    }
+}
+
+// Reserved, then the commit is late by seconds, and meanwhile the room went to others.
+TEST(Executor, RoomThatShrankSinceTheReservationIsNotUsed)
+{
+    int64_t late = 0;
+    for (uint64_t seed : seeds(4)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        for (int round = 0; round < 3; round++) {
+            for (int i = 0; i < 12; i++)         // accepted now, due in the middle of the stall
+                f.send("s" + std::to_string(round) + "." + std::to_string(i), "ms=900",
+                       "\"startAtMs\":" + std::to_string(sim_wall_ms(&f.s) + 1400 - 40 * i) + ",");
+            f.run(700);
+            for (int i = 1; i <= 3; i++)
+                f.at("keeper" + std::to_string(i))->disk.stallUntilUs = f.s.nowUs + 3200000;
+            f.run(500 + sim_pick(&f.s, 300));
+            for (int64_t i = 0; i < f.s.n; i++)
+                for (int64_t k = 0; f.s.machines[i]->kind == M_NODE && k < f.s.machines[i]->core.node.nHomes; k++)
+                    late += f.s.machines[i]->core.node.homes[k]->nRows;
+            for (int i = 1; i <= 11; i++)
+                sim_other(f.executor(i), 16);
+            f.run(4500);
+            for (int i = 1; i <= 11; i++)
+                sim_other(f.executor(i), 0);
+            f.run(4000);
+        }
+        EXPECT_EQ(f.breaches(), "");
+    }
+    EXPECT_GT(late, 0);
+}
+
+// Back in another rack, for other services: what was meant for the former one
+// is not run by the latter.
+TEST(Executor, RacksAndServicesChangeOnARestart)
+{
+    for (uint64_t seed : seeds(4)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        f.settings("root", "{\"atLeastOnce\":true,\"attemptsMax\":50}");
+        caller *load = sim_load(&f.s, 900, 15);
+        int changed = 0;
+        for (int i = 0; i < 12; i++) {
+            f.run(900);
+            for (int k = 0; k < 3; k++) {        // racked and crowded work that may be on its way just now
+                std::string key = "c" + std::to_string(i) + "." + std::to_string(k);
+                std::string body = "{\"key\":\"" + key + "\",\"service\":\"prices\",\"queue\":\"q\",\"steps\":[{\"name\":\"a\",\"rack\":\"" +
+                                   (k ? "r" + std::to_string(k) : std::string("one")) + "\",\"perExecutor\":2,\"tasks\":[";
+                for (int t = 0; t < 3; t++)
+                    body += std::string(t ? "," : "") + "{\"kind\":\"std\",\"payload\":\"ms=700\"}";
+                sim_ask(&f.s, f.any(), "POST", "/v1/jobs", (body + "]}]}").c_str(),
+                        [](sim *, void *, int64_t, int, const char *) {}, nullptr, 0);
+            }
+            f.run(sim_pick(&f.s, 40));
+            machine *e = f.executor(4 + sim_pick(&f.s, 8));      // rack r1 stays as it is
+            changed += e->core.executor.nWork > 0;
+            sim_kill(e, 0);
+            e->serves = 1 + sim_pick(&f.s, 7);
+            snprintf(e->rack, sizeof e->rack, "r%d", (int)(1 + sim_pick(&f.s, 4)));
+            sim_restart(e);
+        }
+        EXPECT_GT(changed, 0);
+        for (int i = 4; i <= 11; i++) {          // in the end every rack serves everything again
+            machine *e = f.executor(i);
+            e->serves = 0;
+            snprintf(e->rack, sizeof e->rack, "r%d", (i - 1) / 3 + 1);
+            sim_restart(e);
+        }
+        EXPECT_EQ(f.settle(load), 0);
+        EXPECT_EQ(f.breaches(), "");
+    }
+}
+
+}  // namespace
--- a/tests/sim/executor_test.cc
+++ b/tests/sim/executor_test.cc
@@ -1,25 +1,8 @@
 // Executors that crash, vanish, slow down, fail in part, stand still, leave.
-#include "fleet.h"
+#include "executors.h"
 
 namespace {
 
-struct Executors : Fleet {
-    explicit Executors(uint64_t seed) : Fleet(seed) { run(5000); }
-    machine *executor(int64_t i) { return at("executor" + std::to_string(i)); }
-    machine *some() { return executor(1 + sim_pick(&s, 11)); }
-    void settings(const std::string &path, const std::string &json)
-    {
-        int64_t version = number(persist("GET", "/v1/settings", ""), "version");
-        Answer a = persist("PUT", "/v1/settings/branch?expect=" + std::to_string(version) + "&path=" + path, json);
-        ASSERT_EQ(a.status, 200) << a.body;
-        run(600);
-    }
-    std::string send(const std::string &key, const std::string &payload, const std::string &more = "")
-    {
-        return text(persist("POST", "/v1/jobs", lookup(key, more, payload)), "id");
-    }
-};
-
 TEST(Executor, CrashedOnesComeBackAsAnotherIncarnation)
 {
     for (uint64_t seed : seeds()) {
@@ -194,99 +177,6 @@
     }
 }
 
-// Work that is not ours takes room and gives it back: judged by what was reported.
-TEST(Executor, RoomTakenByOthersIsNotOurs)
-{
-    for (uint64_t seed : seeds(4)) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        Executors f(seed);
-        caller *load = sim_load(&f.s, 1500, 15);
-        for (int i = 0; i < 120; i++) {
-            f.run(100);
-            machine *e = f.some();
-            sim_other(e, sim_pick(&f.s, 2) ? sim_pick(&f.s, 17) : 0);
-            if (i % 10 == 0)
-                f.send("long" + std::to_string(i), "ms=2500", "\"priority\":" + std::to_string(i) + ",");
-        }
-        for (int i = 1; i <= 11; i++)
-            sim_other(f.executor(i), 0);
-        EXPECT_EQ(f.settle(load), 0);
-        EXPECT_EQ(sim_load_state(&f.s, "done"), load->nJobs);
-        EXPECT_EQ(f.breaches(), "");
-    }
-}
-
-// Reserved, then the commit is late by seconds, and meanwhile the room went to others.
-TEST(Executor, RoomThatShrankSinceTheReservationIsNotUsed)
-{
-    int64_t late = 0;
-    for (uint64_t seed : seeds(4)) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        Executors f(seed);
-        for (int round = 0; round < 3; round++) {
-            for (int i = 0; i < 12; i++)         // accepted now, due in the middle of the stall
-                f.send("s" + std::to_string(round) + "." + std::to_string(i), "ms=900",
-                       "\"startAtMs\":" + std::to_string(sim_wall_ms(&f.s) + 1400 - 40 * i) + ",");
-            f.run(700);
-            for (int i = 1; i <= 3; i++)
-                f.at("keeper" + std::to_string(i))->disk.stallUntilUs = f.s.nowUs + 3200000;
-            f.run(500 + sim_pick(&f.s, 300));
-            for (int64_t i = 0; i < f.s.n; i++)
-                for (int64_t k = 0; f.s.machines[i]->kind == M_NODE && k < f.s.machines[i]->core.node.nHomes; k++)
-                    late += f.s.machines[i]->core.node.homes[k]->nRows;
-            for (int i = 1; i <= 11; i++)
-                sim_other(f.executor(i), 16);
-            f.run(4500);
-            for (int i = 1; i <= 11; i++)
-                sim_other(f.executor(i), 0);
-            f.run(4000);
-        }
-        EXPECT_EQ(f.breaches(), "");
-    }
-    EXPECT_GT(late, 0);
-}
-
-// Back in another rack, for other services: what was meant for the former one
-// is not run by the latter.
-TEST(Executor, RacksAndServicesChangeOnARestart)
-{
-    for (uint64_t seed : seeds(4)) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        Executors f(seed);
-        f.settings("root", "{\"atLeastOnce\":true,\"attemptsMax\":50}");
-        caller *load = sim_load(&f.s, 900, 15);
-        int changed = 0;
-        for (int i = 0; i < 12; i++) {
-            f.run(900);
-            for (int k = 0; k < 3; k++) {        // racked and crowded work that may be on its way just now
-                std::string key = "c" + std::to_string(i) + "." + std::to_string(k);
-                std::string body = "{\"key\":\"" + key + "\",\"service\":\"prices\",\"queue\":\"q\",\"steps\":[{\"name\":\"a\",\"rack\":\"" +
-                                   (k ? "r" + std::to_string(k) : std::string("one")) + "\",\"perExecutor\":2,\"tasks\":[";
-                for (int t = 0; t < 3; t++)
-                    body += std::string(t ? "," : "") + "{\"kind\":\"std\",\"payload\":\"ms=700\"}";
-                sim_ask(&f.s, f.any(), "POST", "/v1/jobs", (body + "]}]}").c_str(),
-                        [](sim *, void *, int64_t, int, const char *) {}, nullptr, 0);
-            }
-            f.run(sim_pick(&f.s, 40));
-            machine *e = f.executor(4 + sim_pick(&f.s, 8));      // rack r1 stays as it is
-            changed += e->core.executor.nWork > 0;
-            sim_kill(e, 0);
-            e->serves = 1 + sim_pick(&f.s, 7);
-            snprintf(e->rack, sizeof e->rack, "r%d", (int)(1 + sim_pick(&f.s, 4)));
-            sim_restart(e);
-        }
-        EXPECT_GT(changed, 0);
-        for (int i = 4; i <= 11; i++) {          // in the end every rack serves everything again
-            machine *e = f.executor(i);
-            e->serves = 0;
-            snprintf(e->rack, sizeof e->rack, "r%d", (i - 1) / 3 + 1);
-            sim_restart(e);
-        }
-        EXPECT_EQ(f.settle(load), 0);
-        EXPECT_EQ(f.breaches(), "");
-    }
-}
-
 TEST(Executor, SlowOnesAndLateReportsLoseNothing)
 {
     for (uint64_t seed : seeds()) {
