--- a/tests/sim/executor_room_test.cc
+++ b/tests/sim/executor_room_test.cc
@@ -32,6 +32,41 @@
     }
 }
 
+// Told to stop, it finished all the same and died, or was cut off, before it could
+// say so: without its word there is no second run.
+TEST(Executor, PreemptedWorkWithoutProofIsNotRunAgain)
+{
+    int64_t moved = 0;
+    for (uint64_t seed : seeds(6)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Executors f(seed);
+        for (int i = 0; i < 30; i++)
+            f.send("q" + std::to_string(i), "ms=" + std::to_string(3300 + sim_pick(&f.s, 900)));
+        f.run(600);
+        machine *e = nullptr;
+        for (int i = 1; i <= 11; i++)
+            if (!e || f.executor(i)->core.executor.nWork > e->core.executor.nWork)
+                e = f.executor(i);
+        e->core.executor.stopMs = 2000;          // slow to stop: some of it is done before
+        executor_leave(&e->core.executor, 5000);
+        while (!f.s.eventCounts[EV_PREEMPTED] && sim_ms(&f.s) < 20000)
+            f.run(5);
+        moved += f.s.eventCounts[EV_PREEMPTED];
+        if (seed % 2) {
+            f.s.trap.kind = TRAP_DONE;
+            f.s.trap.nth = 1;
+            f.s.trap.armed = 1;
+        } else {
+            sim_cut_off(&f.s, e);
+        }
+        f.run(12000);
+        sim_heal(&f.s);
+        f.run(8000);
+        EXPECT_EQ(f.breaches(), "");
+    }
+    EXPECT_GT(moved, 0);
+}
+
 // What cannot end before its executor leaves is stopped in time, its stop proven,
 // and runs elsewhere; the owner is killed in between on every other seed. Gangs move
 // whole; a queue may turn it off.
