Rooms are told to who places by them: frames grew with the square of the fleet

Only the owners of shards place by free room, and there are no more of them than shards.

Now owners are told as before, at most every 40 ms; all others what changed otherwise (state, address, size, leaving) at once and everything every 5 s, or 100 ms for each member where that is longer.

--- a/sim/sim_net.c
+++ b/sim/sim_net.c
@@ -101,6 +101,7 @@
     struct machine *from = machine_of(w), *to = machine_at(from->sim, addr, 0);
     struct sim *sim = from->sim;
     sim->frames++;
+    sim->bytes += frame->bytes.len;
     trap_check(sim, frame->bytes.at[3], from, to);
     if (!to || sim->cut[from->index][to->index] ||
         (lossy && (int64_t)(sim_random(sim) % 100) < sim->lossPct))
--- a/src/home/home.c
+++ b/src/home/home.c
@@ -9,7 +9,7 @@
 #include "base/problem.h"
 #include "node/node.h"
 
-enum { RESERVED_KEEP_MS = 8000, TELL_MS = 300, WANT_MS = 400 };
+enum { RESERVED_KEEP_MS = 8000, TELL_MS = 300, WANT_MS = 400, ROOMS_LEAST_MS = 40 };
 
 struct home *home_find(struct node *node, const char *name)
 {
@@ -394,6 +394,6 @@
         tell_ended(node, home, nowMs);
         home_call(node, home);
     }
-    if (nowMs >= node->roomsDueMs && gate_open(node))
+    if (nowMs >= node->roomsDueMs && nowMs - node->roomsToldMs >= ROOMS_LEAST_MS && gate_open(node))
         home_tell_rooms(node);
 }
--- a/src/home/home_orders.c
+++ b/src/home/home_orders.c
@@ -9,7 +9,7 @@
 #include "home/home.h"
 #include "node/node.h"
 
-enum { CALL_MS = 1000, BEAT_MS = 400, ROOMS_MS = 300, STARTS_A_CALL = 64 };
+enum { CALL_MS = 1000, BEAT_MS = 400, ROOMS_MS = 300, ROOMS_ALL_MS = 5000, ROOMS_EACH_MS = 100, STARTS_A_CALL = 64 };
 
 /* --- health ------------------------------------------------------------------------- */
 
@@ -193,10 +193,35 @@
 
 /* --- rooms ------------------------------------------------------------------------------- */
 
+/* What everybody goes by, other than how much is free just now. */
+static int64_t rooms_hash(const struct rooms_msg *m)
+{
+    uint64_t hash = 1;
+    for (int64_t i = 0; i < m->n; i++) {
+        const struct room *r = &m->rooms[i];
+        hash = hash_mix(hash_mix(hash, hash_text(r->executor)), (uint64_t)(r->state << 8 ^ r->epoch << 16 ^ r->incarnation));
+        hash = hash_mix(hash_mix(hash, (uint64_t)r->addr), (uint64_t)(r->cores << 20 ^ r->memMb ^ (r->leaveMs != 0)));
+    }
+    return (int64_t)(hash | 1);
+}
+
+static int owns_shard(const struct node *node, int64_t addr)
+{
+    for (int64_t i = 0; i < SHARD_COUNT; i++)
+        if (shard_owner(node, i) == addr)
+            return 1;
+    return 0;
+}
+
+/* Free room to the owners of shards, who place by it and are no more than there are
+ * shards; to all others what changed otherwise, and everything now and then. Telling
+ * all of them always grew with the square of the fleet. */
 void home_tell_rooms(struct node *node)
 {
     struct rooms_msg m = {0};
-    node->roomsDueMs = world_ms(node->w) + ROOMS_MS;
+    int64_t nowMs = world_ms(node->w);
+    node->roomsDueMs = nowMs + ROOMS_MS;
+    node->roomsToldMs = nowMs;
     for (int64_t i = 0; i < node->nHomes; i++) {
         struct home *home = node->homes[i];
         if (!home->state.kind)
@@ -210,11 +235,17 @@
                               .addr = home->addr, .leaveMs = home->leaveMs, .wanted = home->wantUntilMs > world_ms(node->w) ? home->wantUrgency : INT64_MAX};
         account_room(home, &room->freeCores, &room->freeMb);
     }
+    int64_t hash = rooms_hash(&m);
+    int64_t everyMs = ROOMS_EACH_MS * node->siblings.n;
+    int all = hash != node->roomsHash || nowMs - node->roomsAllMs >= (everyMs > ROOMS_ALL_MS ? everyMs : ROOMS_ALL_MS);
+    node->roomsHash = hash;
+    if (all)
+        node->roomsAllMs = nowMs;
     struct blob *frame = blob_new();     /* built once for all */
     frame_build(&frame->bytes, FRAME_ROOMS, node->cluster, node->w->self, &roomsMsgShape, &m);
     for (int64_t i = -1; m.n && i < node->siblings.n; i++) {
         const struct sibling_news *news = i < 0 ? &node->siblings.self : &node->siblings.all[i].news;
-        if (news->role != ROLE_NODE || news->state >= SIB_SUSPECT)
+        if (news->role != ROLE_NODE || news->state >= SIB_SUSPECT || (!all && !owns_shard(node, news->addr)))
             continue;
         if (i < 0)
             node_take(node, frame->bytes.at, frame->bytes.len);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -142,7 +142,7 @@
     int64_t nRooms;
     struct home **homes;
     int64_t nHomes;
-    int64_t roomsDueMs, rateDueMs, reqs, startedMs, runsDueMs;
+    int64_t roomsDueMs, roomsToldMs, roomsAllMs, roomsHash, rateDueMs, reqs, startedMs, runsDueMs;
     int64_t picks, pickSteps;          /* counts for measurements */
     int64_t framesDropped;
 };
