--- a/sim/oracle.h
+++ b/sim/oracle.h
@@ -30,7 +30,7 @@
     int64_t job, acceptedMs, again;
     struct machine *node;
 };
-/* Room taken by work that is not ours, from a moment on. */
+/* Room taken by work that is not ours, up to a moment. */
 struct other_room {
     int64_t cores, atMs;
 };
@@ -54,7 +54,7 @@
     int64_t versions[SIM_MACHINES], generations[SIM_MACHINES], leavingMs[SIM_MACHINES];
     struct other_room others[SIM_MACHINES][OTHERS_KEPT];
     /* when the home of an executor, the owner of a shard was last unable to act */
-    int64_t homeBadMs[SIM_MACHINES], ownerBadMs[SHARD_COUNT];
+    int64_t frozenMs[SIM_MACHINES], homeBadMs[SIM_MACHINES], ownerBadMs[SHARD_COUNT];
     Pvoid_t contents;                    /* JudyL: settings version -> hash of what it says */
     Pvoid_t entries[GROUP_COUNT];        /* JudyL: index -> hash of what was applied there */
     int64_t applied[SIM_MACHINES][GROUP_COUNT];
--- a/sim/oracle_known.c
+++ b/sim/oracle_known.c
@@ -88,6 +88,8 @@
         struct machine *e = sim->machines[i];
         if (e->kind != M_EXECUTOR)
             continue;
+        if (e->frozen)
+            o->frozenMs[i] = nowMs;
         struct machine *m = sim_home(sim, e->name);
         struct home *home = able(sim, m) ? home_find(&m->core.node, e->name) : NULL;
         if (!home || !home->opened || !gate_open(&m->core.node))
