--- a/sim/close.c
+++ b/sim/close.c
@@ -8,12 +8,6 @@
 
 enum { LAST_MS = 120000 };
 
-void sim_other(struct machine *m, int64_t cores)
-{
-    oracle_other_room(m->sim->oracle, m, m->core.executor.otherCores);
-    m->core.executor.otherCores = cores;
-}
-
 static void faults_end(struct sim *sim)
 {
     sim_heal(sim);
--- a/sim/oracle.c
+++ b/sim/oracle.c
@@ -146,7 +146,7 @@
 {
     int64_t cores = 0, memMb = 0, sinceMs = sim_ms(o->sim);
     if (r->sinceMs)              /* a gang holds its room before it begins */
-        sinceMs = r->sinceMs - 100000 + m->bornUs / 1000;
+        sinceMs = r->sinceMs - MONO_BASE_MS + m->bornUs / 1000;
     int64_t other = other_told(o, m, sinceMs);
     for (int64_t i = 0; i < o->nTasks; i++)
         if (o->tasks[i].running && o->tasks[i].where == m) {
--- a/sim/service.c
+++ b/sim/service.c
@@ -76,19 +76,21 @@
     sim_ask(s->sim, p->through, "POST", "/v1/jobs", text, answered, s, i);
 }
 
+static int reachable(const struct sim *sim, const struct machine *e)
+{
+    return e->kind == M_EXECUTOR && e->up && !e->frozen && !sim_is_cut(sim, e);
+}
+
 /* An executor that is well has a home that opened it. */
 static const char *homeless(struct sim *sim)
 {
     for (int64_t i = 0; i < sim->n; i++) {
         struct machine *e = sim->machines[i];
-        if (e->kind != M_EXECUTOR || !e->up || e->frozen)
+        if (!reachable(sim, e))
             continue;
         struct machine *m = sim_home(sim, e->name);
-        int cut = 0;
-        for (int64_t k = 0; k < sim->n; k++)
-            cut |= sim->cut[i][k] | sim->cut[k][i];
         struct home *home = m && m->up && !m->frozen ? home_find(&m->core.node, e->name) : NULL;
-        if (!cut && (!home || !home->opened))
+        if (!home || !home->opened)
             return e->name;
     }
     return NULL;
@@ -97,11 +99,7 @@
 /* Nobody can be asked to run work on a rack where no executor is well. */
 static int serves(const struct sim *sim, const struct machine *e)
 {
-    int cut = 0;
-    for (int64_t k = 0; k < sim->n; k++)
-        cut |= sim->cut[e->index][k] | sim->cut[k][e->index];
-    return e->kind == M_EXECUTOR && e->up && !e->frozen && !cut && !e->core.executor.leaveAtMs &&
-           !e->core.executor.failPct;
+    return reachable(sim, e) && !e->core.executor.leaveAtMs && !e->core.executor.failPct;
 }
 
 static struct probe *add(struct service *s, const char *what, struct machine **nodes, int64_t nNodes)
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -109,6 +109,7 @@
 };
 
 #define WALL_BASE_MS 1700000000000LL
+#define MONO_BASE_MS 100000LL        /* what a process's own clock shows when it starts */
 
 void sim_start(struct sim *sim, uint64_t seed, int keepers, int nodes, int executors, int64_t cores,
                const char *deployment);
@@ -129,6 +130,8 @@
 void sim_cut(struct sim *sim, struct machine *a, struct machine *b, int oneWay);
 void sim_cut_off(struct sim *sim, struct machine *m);
 void sim_heal(struct sim *sim);
+int sim_is_cut(const struct sim *sim, const struct machine *m);      /* from or to anybody */
+void sim_other(struct machine *m, int64_t cores);    /* an executor's room taken by work that is not ours */
 void sim_ask(struct sim *sim, struct machine *to, const char *method, const char *path, const char *body,
              sim_answer *answer, void *arg, int64_t tag);
 /* Asks, runs until the answer or waitMs, returns the status; body owned by the caller. */
@@ -193,5 +196,4 @@
 /* close.c: the end of the day. All faults end, everything stops with its power
  * and starts; then what was promised must still be there. */
 void sim_close(struct sim *sim);
-void sim_other(struct machine *m, int64_t cores);     /* room taken by work that is not ours */
 #endif
--- a/sim/sim_fleet.c
+++ b/sim/sim_fleet.c
@@ -100,6 +100,20 @@
     return best;
 }
 
+void sim_other(struct machine *m, int64_t cores)
+{
+    oracle_other_room(m->sim->oracle, m, m->core.executor.otherCores);
+    m->core.executor.otherCores = cores;
+}
+
+int sim_is_cut(const struct sim *sim, const struct machine *m)
+{
+    for (int64_t k = 0; k < sim->n; k++)
+        if (sim->cut[m->index][k] || sim->cut[k][m->index])
+            return 1;
+    return 0;
+}
+
 struct waiting {
     int status, done;
     char *body;
--- a/sim/sim_net.c
+++ b/sim/sim_net.c
@@ -305,7 +305,7 @@
 static int64_t mono_ms(struct world *w)
 {
     struct machine *m = machine_of(w);
-    return (m->sim->nowUs + m->stallUs - m->bornUs) / 1000 + 100000;
+    return (m->sim->nowUs + m->stallUs - m->bornUs) / 1000 + MONO_BASE_MS;
 }
 
 static int64_t wall_ms(struct world *w)
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -44,9 +44,9 @@
     X(6004, EV_EXECUTOR_LEAVING, LEVEL_INFO, "executor says it is leaving") \
     X(6005, EV_QUARANTINE, LEVEL_WARN, "executor quarantined by its outcomes") \
     X(6006, EV_PROBATION, LEVEL_INFO, "executor on probation") \
+    X(6007, EV_HOME_LOST, LEVEL_INFO, "home of an executor given up") \
     X(6008, EV_TASK_STILL, LEVEL_WARN, "task shows no progress, stopped") \
     X(6009, EV_PREEMPTED, LEVEL_INFO, "task stopped in time to run elsewhere") \
-    X(6007, EV_HOME_LOST, LEVEL_INFO, "home of an executor given up") \
     X(7001, EV_EXEC_START, LEVEL_DEBUG, "stand-in starts a task") \
     X(7002, EV_EXEC_STOP, LEVEL_DEBUG, "stand-in stops a task")
 
--- a/src/executor/executor.c
+++ b/src/executor/executor.c
@@ -70,12 +70,12 @@
     s.leaving = e->leaveAtMs != 0;
     s.leavingInMs = e->leaveAtMs ? e->leaveAtMs - world_ms(e->w) : 0;
     for (int64_t i = 0; i < e->nWork; i++) {
-        s.freeCores -= e->work[i].task.cores;
-        s.freeMb -= e->work[i].task.memMb;
-        *list_more(s.running, s.nRunning) = e->work[i].task;
         const struct exec_work *work = &e->work[i];
+        s.freeCores -= work->task.cores;
+        s.freeMb -= work->task.memMb;
+        *list_more(s.running, s.nRunning) = work->task;
         s.running[i].progress = work->held || work->stalls ? 0 : world_ms(e->w) - (work->endMs - work->lastsMs);
-        s.running[i].state = e->work[i].held ? "held" : e->work[i].stopMs ? "stopping" : "running";
+        s.running[i].state = work->held ? "held" : work->stopMs ? "stopping" : "running";
     }
     s.ended = e->ended;
     s.nEnded = e->nEnded;
--- a/src/home/home_orders.c
+++ b/src/home/home_orders.c
@@ -170,7 +170,7 @@
             *list_more(orders.starts, orders.nStarts) = *row->start;
             row->offeredTicket = orders.ticket;
         }
-        if (row->stopAsked && row->state >= ACC_STARTING && row->state < ACC_ENDED)
+        else if (row->stopAsked && row->state >= ACC_STARTING && row->state < ACC_ENDED)
             *list_more(orders.stops, orders.nStops) = at;
         else if (row->state == ACC_RUNNING || row->state == ACC_HELD)
             *list_more(orders.renews, orders.nRenews) = at;
@@ -205,10 +205,10 @@
     return (int64_t)(hash | 1);
 }
 
-static int owns_shard(const struct node *node, int64_t addr)
+static int is_in(const int64_t *addrs, int64_t n, int64_t addr)
 {
-    for (int64_t i = 0; i < SHARD_COUNT; i++)
-        if (shard_owner(node, i) == addr)
+    for (int64_t i = 0; i < n; i++)
+        if (addrs[i] == addr)
             return 1;
     return 0;
 }
@@ -219,7 +219,7 @@
 void home_tell_rooms(struct node *node)
 {
     struct rooms_msg m = {0};
-    int64_t nowMs = world_ms(node->w);
+    int64_t nowMs = world_ms(node->w), owners[SHARD_COUNT];
     node->roomsDueMs = nowMs + ROOMS_MS;
     node->roomsToldMs = nowMs;
     for (int64_t i = 0; i < node->nHomes; i++) {
@@ -232,7 +232,8 @@
                               .home = (int64_t)node->w->self, .epoch = home->epoch,
                               .incarnation = home->incarnation, .state = home_room_state(node, home),
                               .cores = home->state.cores, .memMb = home->state.memMb,
-                              .addr = home->addr, .leaveMs = home->leaveMs, .wanted = home->wantUntilMs > world_ms(node->w) ? home->wantUrgency : INT64_MAX};
+                              .addr = home->addr, .leaveMs = home->leaveMs,
+                              .wanted = home->wantUntilMs > nowMs ? home->wantUrgency : INT64_MAX};
         account_room(home, &room->freeCores, &room->freeMb);
     }
     int64_t hash = rooms_hash(&m);
@@ -241,11 +242,13 @@
     node->roomsHash = hash;
     if (all)
         node->roomsAllMs = nowMs;
+    for (int64_t i = 0; i < SHARD_COUNT; i++)
+        owners[i] = shard_owner(node, i);
     struct blob *frame = blob_new();     /* built once for all */
     frame_build(&frame->bytes, FRAME_ROOMS, node->cluster, node->w->self, &roomsMsgShape, &m);
     for (int64_t i = -1; m.n && i < node->siblings.n; i++) {
         const struct sibling_news *news = i < 0 ? &node->siblings.self : &node->siblings.all[i].news;
-        if (news->role != ROLE_NODE || news->state >= SIB_SUSPECT || (!all && !owns_shard(node, news->addr)))
+        if (news->role != ROLE_NODE || news->state >= SIB_SUSPECT || (!all && !is_in(owners, SHARD_COUNT, news->addr)))
             continue;
         if (i < 0)
             node_take(node, frame->bytes.at, frame->bytes.len);
--- a/src/log/log_member.c
+++ b/src/log/log_member.c
@@ -94,6 +94,12 @@
     shape_free(&logMembersShape, next);
 }
 
+static void member_drop(struct log_members *members, int64_t i)
+{
+    free(members->members[i].zone);
+    members->members[i] = members->members[--members->n];
+}
+
 /* One change in place of two, for a voter whose disk is gone for good: its
  * address answers under the fresh identity, so the old one never votes again.
  * Majorities of the former members are then majorities of those that are left,
@@ -110,10 +116,8 @@
     for (int64_t i = 0; i < next.n; i++) {
         if (next.members[i].id == freshId)
             next.members[i].voter = VOTES;
-        if (next.members[i].id != goneId)
-            continue;
-        free(next.members[i].zone);
-        next.members[i--] = next.members[--next.n];
+        if (next.members[i].id == goneId)
+            member_drop(&next, i--);
     }
     world_note(log->w, EV_MEMBER_CHANGE, "log=%s gone=%llx fresh=%llx", log->name, (unsigned long long)goneId,
                (unsigned long long)freshId);
@@ -156,10 +160,8 @@
     for (int64_t i = 0; i < next.n; i++) {
         if (next.members[i].voter == VOTES_NEWLY)
             next.members[i].voter = VOTES;
-        if (next.members[i].voter != VOTED)
-            continue;
-        free(next.members[i].zone);
-        next.members[i--] = next.members[--next.n];
+        if (next.members[i].voter == VOTED)
+            member_drop(&next, i--);
     }
     propose_members(log, &next);
     return P_OK;
@@ -176,8 +178,7 @@
     while (i < next.n && next.members[i].id != id)
         i++;
     if (gone && i < next.n) {
-        free(next.members[i].zone);
-        next.members[i] = next.members[--next.n];
+        member_drop(&next, i);
     } else if (!gone && i < next.n) {
         next.members[i].voter = voter;
     } else if (!gone) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -247,14 +247,13 @@
 void track_start(struct node *node, struct shard *shard, struct job *job, int64_t no);
 void track_on_ended(struct node *node, const struct ended *m);
 void track_on_checked(struct node *node, const struct checked *m);
+void track_committed(struct node *node, struct shard *shard, const struct op *op);
+
 /* shard/preempt.c */
 void preempt_watch(struct node *node, struct shard *shard, const char *executor);
 void preempt_committed(struct node *node, struct shard *shard, struct job *job, const struct op *op);
 static inline int row_preempted(const struct row *row) { return row->preempted && row->preempted == row->attempt; }
 
-/* shard/track.c */
-void track_committed(struct node *node, struct shard *shard, const struct op *op);
-
 /* shard/enqueue.c */
 void enqueue_job(struct node *node, int64_t request, const char *body, int64_t len);
 void enqueue_cancel(struct node *node, int64_t request, int64_t job);
