--- /dev/null
+++ b/sim/cluster.c
@@ -0,0 +1,410 @@
+/* Hosts of a simulated cluster: how they start, stop, die and are cut off. */
+#include "sim/cluster.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/agent.h"
+#include "controller/controller.h"
+
+uint64_t cluster_random(struct cluster *c)
+{
+    c->state += 0x9e3779b97f4a7c15ull;
+    return hash_mix(c->state, 0x2545f4914f6cdd1dull);
+}
+
+int64_t cluster_pick(struct cluster *c, int64_t n) { return n > 0 ? (int64_t)(cluster_random(c) % (uint64_t)n) : 0; }
+int64_t cluster_wall_ms(const struct cluster *c) { return CLUSTER_WALL_MS + c->nowUs / 1000; }
+
+/* --- the story ---------------------------------------------------------------- */
+
+void cluster_tell(struct cluster *c, int64_t job, const char *format, ...)
+{
+    char text[400];
+    va_list args;
+    va_start(args, format);
+    vsnprintf(text, sizeof text, format, args);
+    va_end(args);
+    struct story_line *line = list_more(c->story, c->nStory);
+    line->atUs = c->nowUs;
+    line->job = job;
+    line->text = must_dup(text);
+    if (c->trace)
+        fprintf(stderr, "%10.3f %s%s\n", (double)c->nowUs / 1e6, job ? "  " : "", text);
+}
+
+/* The breaches, then all that happened to the cluster and to the job of the first. */
+char *cluster_story(const struct cluster *c)
+{
+    struct bytes to = {0};
+    bytes_printf(&to, "%lld breaches\n", (long long)c->nBreaches);
+    for (int64_t i = 0; i < c->nBreaches && i < 20; i++)
+        bytes_printf(&to, "  %s\n", c->breaches[i]);
+    for (int64_t i = 0; i < c->nStory; i++)
+        if (!c->story[i].job || c->story[i].job == c->breachJob)
+            bytes_printf(&to, "%10.3f %s%s\n", (double)c->story[i].atUs / 1e6, c->story[i].job ? "  " : "",
+                         c->story[i].text);
+    return (char *)to.at;
+}
+
+/* --- hosts -------------------------------------------------------------------- */
+
+struct host *cluster_add(struct cluster *c, enum host_kind kind, int withDisk, int zone)
+{
+    static struct world_calls calls;
+    struct host *h = must_alloc(sizeof *h);
+    cluster_calls_net(&calls);
+    cluster_calls_disk(&calls);
+    h->cluster = c;
+    h->kind = kind;
+    h->index = c->n;
+    h->withDisk = withDisk;
+    h->troubleUs = -CONTACT_MS * 1000;
+    h->base.calls = &calls;
+    h->base.self = (10ull << 40 | (uint64_t)zone << 32 | (uint64_t)(c->n + 1) << 24 | 1ull << 16) | 7000;
+    h->base.httpAddr = h->base.self + 1000;
+    int64_t no = kind == HOST_CONTROLLER ? ++c->controllers : ++c->agents;
+    snprintf(h->name, sizeof h->name, "%s%d", kind == HOST_CONTROLLER ? withDisk ? "core" : "door" : "agent",
+             (int)no);
+    snprintf(h->zone, sizeof h->zone, "z%d", zone);
+    snprintf(h->rack, sizeof h->rack, "z%d-%d", zone, (int)(no / 6) % 3);
+    if (withDisk)
+        h->disk = cluster_disk_new(cluster_random(c));
+    if (kind == HOST_AGENT)
+        h->standin = standin_new(h, no - 1);
+    c->hosts[c->n++] = h;
+    return h;
+}
+
+static const struct dispatch_params dispatchParams = {
+    .holdMaxMs = HOLD_MAX_MS, .leaseMs = LEASE_MS, .gangTimeoutMs = GANG_MS, .stopTimeoutMs = STOP_MS,
+    .cancelMs = CANCEL_MS, .earlyMs = EARLY_MS, .shownMs = 120000, .drainMs = DRAIN_MS, .farPct = 150,
+    .checkpointMs = SAVE_MS, .restoreMs = RESTORE_MS};
+
+static void boot_controller(struct host *h, int firstStart)
+{
+    struct cluster *c = h->cluster;
+    struct controller_setup setup = {
+        .cluster = "sim", .zone = h->zone, .seeds = c->seeds, .nSeeds = c->nSeeds, .disk = h->withDisk,
+        .firstStart = firstStart, .machinesLost = 1, .zonesLost = 0, .boot = h->base.calls->wall_ms(&h->base),
+        .graceMs = 6000, .dispatch = dispatchParams, .dialect = &clusterDoorDialect};
+    h->controller = controller_new(&h->base, &setup);
+    if (!h->controller) {
+        cluster_tell(c, 0, "%s trusts its disk no more and ends", h->name);
+        h->up = 0;
+    }
+}
+
+static void boot_agent(struct host *h)
+{
+    struct cluster *c = h->cluster;
+    struct agent_setup setup = {
+        .cluster = "sim", .zone = h->zone, .seeds = c->seeds, .nSeeds = c->nSeeds,
+        .boot = h->base.calls->wall_ms(&h->base), .executor = (int64_t)h->base.self + 2000,
+        .holdMaxMs = HOLD_MAX_MS, .stopTimeoutMs = STOP_MS, .graceMs = 6000, .dialect = &clusterDoorDialect,
+        .executorDialect = &clusterExecutorDialect};
+    h->agent = agent_new(&h->base, &setup);
+}
+
+static void trouble(struct host *h)
+{
+    struct cluster *c = h->cluster;
+    h->troubleUs = c->troubleUs = c->nowUs;
+    if (h->kind == HOST_CONTROLLER)
+        c->coreTroubleUs = c->nowUs;
+}
+
+void cluster_core_trouble(struct cluster *c) { c->coreTroubleUs = c->troubleUs = c->nowUs; }
+
+void host_boot(struct host *h, int firstStart)
+{
+    struct cluster *c = h->cluster;
+    if (h->gone || h->up)
+        return;
+    h->generation++;
+    h->bornUs = c->nowUs;
+    h->up = 1;
+    h->frozen = h->leaving = h->thawUs = 0;
+    h->busyUntilUs = h->stallUs = h->flushDue = 0;
+    if (h->everUp) {
+        cluster_tell(c, 0, "%s starts", h->name);
+        trouble(h);
+    }
+    h->everUp = 1;
+    if (h->kind == HOST_CONTROLLER)
+        boot_controller(h, firstStart);
+    else
+        boot_agent(h);
+    if (!h->up)                              /* it ended at once */
+        return;
+    h->busyUntilUs = c->nowUs + h->stallUs;
+    h->stallUs = 0;
+    struct cluster_event *tick = must_alloc(sizeof *tick);
+    tick->kind = CEV_TICK;
+    tick->to = h;
+    tick->generation = h->generation;
+    cluster_push(c, tick, c->nowUs + cluster_pick(c, CLUSTER_TICK_US));
+}
+
+static void core_end(struct host *h)
+{
+    if (h->controller)
+        controller_free(h->controller);
+    if (h->agent)
+        agent_free(h->agent);
+    h->controller = NULL;
+    h->agent = NULL;
+}
+
+void host_kill(struct host *h, int power)
+{
+    if (h->up) {
+        cluster_tell(h->cluster, 0, "%s dies%s", h->name, power ? " with its power" : "");
+        h->up = 0;
+        h->generation++;
+        core_end(h);
+    }
+    trouble(h);
+    if (power && h->disk)
+        cluster_disk_power_loss(h->disk);
+}
+
+void host_restart(struct host *h)
+{
+    if (h->up)
+        host_kill(h, 0);
+    host_boot(h, 0);
+}
+
+static void boot_again(struct cluster *c, void *arg, int64_t n)
+{
+    (void)c, (void)n;
+    host_boot(arg, 0);
+}
+
+static void leave_over(struct cluster *c, void *arg, int64_t n)
+{
+    struct host *h = arg;
+    if (!h->up || !h->leaving)
+        return;
+    int left = h->controller ? controller_left(h->controller) : agent_left(h->agent);
+    if (!left && n > 0) {
+        cluster_at(c, 50, leave_over, h, n - 50);
+        return;
+    }
+    if (!left)
+        cluster_tell(c, 0, "%s has not left in time", h->name);
+    host_kill(h, 0);
+    cluster_at(c, 300, boot_again, h, 0);
+}
+
+void host_leave(struct host *h)
+{
+    if (!h->up || h->leaving)
+        return;
+    cluster_tell(h->cluster, 0, "%s is asked to stop", h->name);
+    trouble(h);
+    h->leaving = 1;
+    if (h->controller)
+        controller_leave(h->controller);
+    else
+        agent_leave(h->agent);
+    cluster_at(h->cluster, 50, leave_over, h, 6000);
+}
+
+void host_wipe(struct host *h)
+{
+    cluster_tell(h->cluster, 0, "%s loses its disk", h->name);
+    if (h->disk)
+        cluster_disk_clear(h->disk);
+}
+
+static void thaw(struct cluster *c, void *arg, int64_t n)
+{
+    struct host *h = arg;
+    (void)n;
+    if (!h->frozen || c->nowUs < h->thawUs)
+        return;
+    cluster_tell(c, 0, "%s thaws", h->name);
+    h->frozen = 0;
+    trouble(h);
+}
+
+void host_freeze(struct host *h, int64_t forMs)
+{
+    cluster_tell(h->cluster, 0, "%s freezes for %lld ms", h->name, (long long)forMs);
+    h->frozen = 1;
+    int64_t thawUs = h->cluster->nowUs + forMs * 1000;
+    h->thawUs = thawUs > h->thawUs ? thawUs : h->thawUs;
+    trouble(h);
+    cluster_at(h->cluster, forMs, thaw, h, 0);
+}
+
+void host_skew(struct host *h, int64_t byMs)
+{
+    cluster_tell(h->cluster, 0, "time of day of %s jumps by %lld ms", h->name, (long long)byMs);
+    h->cluster->clocksJump = 1;
+    h->skewMs += byMs;
+    trouble(h);
+}
+
+void host_cut(struct host *a, struct host *b, int oneWay)
+{
+    struct cluster *c = a->cluster;
+    c->cut[a->index][b->index] = 1;
+    if (!oneWay)
+        c->cut[b->index][a->index] = 1;
+    trouble(a);
+    trouble(b);
+}
+
+void host_cut_off(struct host *h)
+{
+    struct cluster *c = h->cluster;
+    cluster_tell(c, 0, "%s is cut off", h->name);
+    for (int64_t i = 0; i < c->n; i++)
+        if (c->hosts[i] != h)
+            c->cut[h->index][i] = c->cut[i][h->index] = 1;
+    trouble(h);
+}
+
+void cluster_heal(struct cluster *c)
+{
+    cluster_tell(c, 0, "all links heal");
+    for (int64_t i = 0; i < c->n; i++)
+        if (cluster_is_cut(c, c->hosts[i]))
+            trouble(c->hosts[i]);
+    memset(c->cut, 0, sizeof c->cut);
+}
+
+int cluster_is_cut(const struct cluster *c, const struct host *h)
+{
+    for (int64_t i = 0; i < c->n; i++)
+        if (c->cut[h->index][i] || c->cut[i][h->index])
+            return 1;
+    return 0;
+}
+
+/* Cut off from more than one of the core. */
+static int apart(const struct cluster *c, const struct host *h)
+{
+    int64_t reached = 0, running = 0;
+    for (int64_t i = 0; i < c->n; i++) {
+        const struct host *to = c->hosts[i];
+        if (to->kind != HOST_CONTROLLER || !to->withDisk || to->gone || to == h)
+            continue;
+        running++;
+        reached += to->up && !c->cut[h->index][i] && !c->cut[i][h->index];
+    }
+    return reached < running - 1 || reached == 0;
+}
+
+int cluster_in_touch(const struct cluster *c, const struct host *h)
+{
+    return h->up && !h->frozen && !apart(c, h) && c->nowUs - h->troubleUs > CONTACT_MS * 1000 &&
+           c->nowUs - c->coreTroubleUs > CONTACT_MS * 1000;
+}
+
+struct host *cluster_leader(struct cluster *c)
+{
+    for (int64_t i = 0; i < c->n; i++)
+        if (c->hosts[i]->up && c->hosts[i]->controller && controller_leads(c->hosts[i]->controller))
+            return c->hosts[i];
+    return NULL;
+}
+
+struct host *cluster_controller(struct cluster *c, int64_t n)
+{
+    for (int64_t i = 0; i < c->n; i++)
+        if (c->hosts[i]->kind == HOST_CONTROLLER && !c->hosts[i]->gone && n-- == 0)
+            return c->hosts[i];
+    return NULL;
+}
+
+struct host *cluster_any_controller(struct cluster *c)
+{
+    int64_t n = 0;
+    while (cluster_controller(c, n))
+        n++;
+    return cluster_controller(c, cluster_pick(c, n));
+}
+
+struct host *cluster_replace(struct host *gone)
+{
+    struct cluster *c = gone->cluster;
+    host_kill(gone, 1);
+    gone->gone = 1;
+    struct host *fresh = cluster_add(c, gone->kind, (int)gone->withDisk, gone->zone[1] - '0');
+    cluster_tell(c, 0, "%s stands in place of %s, empty", fresh->name, gone->name);
+    for (int64_t i = 0; i < c->nSeeds; i++)
+        if (c->seeds[i] == (int64_t)gone->base.self)
+            c->seeds[i] = (int64_t)fresh->base.self;
+    fresh->everUp = 1;
+    host_boot(fresh, 0);
+    return fresh;
+}
+
+/* --- the run ------------------------------------------------------------------- */
+
+void cluster_start(struct cluster *c, uint64_t seed, int disks, int diskless, int agents)
+{
+    memset(c, 0, sizeof *c);
+    c->state = hash_mix(seed, 0xc1057e);
+    c->calm = 1;
+    c->coreTroubleUs = c->troubleUs = -1000 * CONTACT_MS;
+    c->trace = getenv("SAGEHITCH_TRACE") ? atoi(getenv("SAGEHITCH_TRACE")) : 0;
+    for (int i = 0; i < disks; i++) {
+        struct host *h = cluster_add(c, HOST_CONTROLLER, 1, i % 3);
+        if (c->nSeeds < 3)
+            c->seeds[c->nSeeds++] = (int64_t)h->base.self;
+    }
+    for (int i = 0; i < diskless; i++)
+        cluster_add(c, HOST_CONTROLLER, 0, i % 3);
+    for (int i = 0; i < agents; i++)
+        cluster_add(c, HOST_AGENT, 0, i % 3);
+    c->disks = disks;
+    for (int64_t i = 0; i < c->n; i++) {
+        host_boot(c->hosts[i], 1);
+        if (c->hosts[i]->standin)
+            standin_boot(c->hosts[i]->standin);
+    }
+}
+
+void cluster_run(struct cluster *c, int64_t ms)
+{
+    int64_t untilUs = c->nowUs + ms * 1000;
+    struct cluster_event *event;
+    while ((event = cluster_pop(c, untilUs))) {
+        c->nowUs = event->atUs;
+        cluster_deliver(c, event);
+    }
+    c->nowUs = untilUs;
+}
+
+void cluster_end(struct cluster *c)
+{
+    for (int64_t i = 0; i < c->nHeap; i++)
+        cluster_event_free(c->heap[i]);
+    free(c->heap);
+    for (int64_t i = 0; i < c->n; i++) {
+        struct host *h = c->hosts[i];
+        core_end(h);
+        if (h->standin)
+            standin_free(h->standin);
+        cluster_disk_free(h->disk);
+        free(h);
+    }
+    free(c->calls);
+    for (int64_t i = 0; i < c->nJobs; i++)
+        board_free(c->jobs[i]);
+    free(c->jobs);
+    operator_free(c);
+    for (int64_t i = 0; i < c->nStory; i++)
+        free(c->story[i].text);
+    free(c->story);
+    for (int64_t i = 0; i < c->nBreaches; i++)
+        free(c->breaches[i]);
+    free(c->breaches);
+}
--- /dev/null
+++ b/sim/cluster.h
@@ -0,0 +1,283 @@
+/* The seeded simulator of a cluster: controllers, agents beside stand-ins of
+ * executors, callers and operators, under one virtual clock. It runs the shipped
+ * cores; a judge sees what executors, callers and operators see, and nothing
+ * else. The same seed gives the same run. */
+#ifndef SAGEHITCH_CLUSTER_H
+#define SAGEHITCH_CLUSTER_H
+#include "base/world.h"
+
+enum { CLUSTER_HOSTS = 64, CLUSTER_TICK_US = 20000, STANDIN_TICK_US = 5000 };
+enum host_kind { HOST_CONTROLLER, HOST_AGENT };
+enum standin_end { RUN_DONE = 1, RUN_FAILED, RUN_STOPPED, RUN_LAPSED, RUN_BROKEN, RUN_ALONE };
+
+/* Bounds the judge goes by, and what the cores are given. */
+enum {
+    HOLD_MAX_MS = 6000, LEASE_MS = 4000, GANG_MS = 3000, STOP_MS = 400, CANCEL_MS = 3000, EARLY_MS = 250,
+    DRAIN_MS = 2000, CONTACT_MS = 3000, APPLY_MS = 2000, VISIBLE_MS = 3000, SAVE_MS = 2000, RESTORE_MS = 600,
+    JUMP_MS = 5000, ATTEMPTS_MAX = 3, CLOSE_MS = 20000, ACK_MS = 4000
+};
+
+struct cluster;
+struct cluster_disk;
+struct job_spec;
+struct controller;
+struct agent;
+
+/* One machine. Invariants: what is addressed to an older generation is dropped; what came while it
+ * was frozen or busy is taken in the order it came. */
+struct host {
+    struct world base;               /* first */
+    struct cluster *cluster;
+    enum host_kind kind;
+    int64_t index, up, generation, frozen, thawUs, busyUntilUs, stallUs, skewMs, bornUs, flushDue, withDisk, gone, troubleUs;
+    int64_t everUp, leaving;
+    char name[16], zone[8], rack[8];
+    struct cluster_disk *disk;
+    struct controller *controller;
+    struct agent *agent;
+    struct standin *standin;
+};
+
+/* --- what the callers handed in, and what was seen of it ------------------------ */
+
+struct seen_start {
+    int64_t atUs, attempt, executor;
+};
+struct seen_end {
+    int64_t atUs, attempt, executor, generation, seq, how, noted, lapsed;
+};
+/* One task of one time. */
+struct board_row {
+    struct seen_start *starts;
+    struct seen_end *ends;
+    int64_t nStarts, nEnds, savedMs, told;      /* told: breaches of it already in the report */
+};
+/* A gang's run over all executors. */
+struct board_gang {
+    int64_t time, step, attempt, beganUs, needUs, broken, over, started;
+    char *saved;
+};
+struct board_job {
+    int64_t id, serial, tasks, times, hopeless, poison, lasting, failPct;
+    struct job_spec *spec;
+    int64_t *first;                  /* row of a step's first task in a time */
+    const char *hostName, *prefix, *service;
+    char *body;
+    int64_t sentUs, acceptedUs, tries, refusals, open, cancelUs, cancelTries, cancelAckUs, shown, shownUs, missing;
+    int64_t starts;
+    struct board_row *rows;
+    struct board_gang *gangs;
+    int64_t nGangs;
+};
+
+/* --- executors ---------------------------------------------------------------------- */
+
+struct standin_run {
+    struct board_job *job;
+    int64_t time, step, index, task, attempt, startedUs, doneUs, needUs, restoreUs, savedMs, failsUs, stoppingUs, tickUs;
+    char *saved;
+};
+struct standin_ended {
+    int64_t seq, job, task, attempt, how;
+    char *saved;
+};
+struct standin_barred {
+    int64_t job, task, attempt;
+};
+struct standin_look {
+    int64_t call, dueUs;
+};
+/* Invariants: fence and seq never fall within a life (generation); runs holds also
+ * what is being stopped; up 0: nothing of it is left. */
+struct standin {
+    struct host *host;
+    int64_t index, up, generation, bornUs, offsetMs, slowPpm, untilMs, fence, seq, lastTickUs, gone;
+    char life[32];
+    const char *service, *rack, *label;
+    int64_t guards, cpuMilli, memoryMb, gpus;
+    struct standin_run *runs;
+    struct standin_ended *ended;
+    struct standin_barred *barred;
+    struct standin_look *looks;
+    int64_t nRuns, nEnded, nBarred, nLooks;
+    int64_t draining, drainAckUs, leavesUs, returnUs, beatDueUs, beatSeq;
+    int64_t slowPct, hangUs, failUs, sickUs, lateUs, faultUs;      /* faults until; faultUs: newest trouble's end */
+};
+
+/* --- events ---------------------------------------------------------------------------- */
+
+enum cluster_event_kind { CEV_TICK, CEV_STANDIN, CEV_FRAME, CEV_ASK, CEV_ANSWER, CEV_TIMEOUT, CEV_FLUSH, CEV_ACTION };
+typedef void cluster_action(struct cluster *c, void *arg, int64_t n);
+typedef void cluster_answer(struct cluster *c, void *arg, int64_t tag, int status, const char *body);
+
+struct cluster_event {
+    int64_t atUs, order, generation, call, n, entry, late;
+    enum cluster_event_kind kind;
+    struct host *to;
+    struct blob *frame;
+    char *method, *path, *header, *body;
+    int status;
+    cluster_action *action;
+    void *arg;
+};
+/* from NULL: from outside. standin: the executor is called or calls, not the core. */
+struct cluster_call {
+    int64_t id, fromGeneration, tag;
+    struct host *from, *to;
+    struct standin *standin;
+    call_done *done;
+    cluster_answer *outside;
+    void *arg;
+};
+struct story_line {
+    int64_t atUs, job;               /* job 0: of the cluster as a whole */
+    char *text;
+};
+
+struct cluster {
+    uint64_t state;
+    int64_t nowUs, order, nCalls;
+    struct cluster_event **heap;
+    int64_t nHeap;
+    struct host *hosts[CLUSTER_HOSTS];
+    int64_t n, controllers, disks, agents;
+    uint8_t cut[CLUSTER_HOSTS][CLUSTER_HOSTS];          /* [from][to] */
+    int64_t lastUs[CLUSTER_HOSTS][CLUSTER_HOSTS];
+    int64_t lossPct, slowLinkMs;
+    struct cluster_call *calls;
+    int64_t nCallsOpen;
+    struct board_job **jobs;
+    int64_t nJobs, loadUntilUs, loadEveryUs, mix, quiet;
+    int64_t seeds[3], nSeeds;
+    int64_t coreTroubleUs, troubleUs, clocksJump, calm;
+    struct op_change *changes;
+    int64_t nChanges, ackedVersion, ackedUs, operating;
+    struct story_line *story;
+    int64_t nStory;
+    char **breaches;
+    int64_t nBreaches, breachJob, judged;
+    int64_t nStarts, nEnds[8], nRoomRefused, nLateOrders, nAccepted, nRefused, nShownDone, lostCoreMs;
+    int trace;
+    /* self-tests: answers in place of the cores; status, 0: silence */
+    int (*fake)(struct cluster *c, const char *method, const char *path, const char *body, char **answer);
+};
+
+#define CLUSTER_WALL_MS 1700000000000LL
+
+/* --- cluster.c ------------------------------------------------------------------------------ */
+void cluster_start(struct cluster *c, uint64_t seed, int disks, int diskless, int agents);
+void cluster_end(struct cluster *c);
+void cluster_run(struct cluster *c, int64_t ms);
+uint64_t cluster_random(struct cluster *c);
+int64_t cluster_pick(struct cluster *c, int64_t n);
+int64_t cluster_wall_ms(const struct cluster *c);
+struct host *cluster_add(struct cluster *c, enum host_kind kind, int withDisk, int zone);
+void host_boot(struct host *h, int firstStart);
+void host_kill(struct host *h, int power);
+void host_restart(struct host *h);
+void host_leave(struct host *h);                 /* asked to stop; starts again after it ended */
+void host_wipe(struct host *h);
+void host_freeze(struct host *h, int64_t forMs);
+void host_skew(struct host *h, int64_t byMs);
+void host_cut(struct host *a, struct host *b, int oneWay);
+void host_cut_off(struct host *h);
+void cluster_heal(struct cluster *c);
+struct host *cluster_leader(struct cluster *c);  /* NULL: none */
+struct host *cluster_controller(struct cluster *c, int64_t n);    /* nth, NULL: none */
+struct host *cluster_any_controller(struct cluster *c);           /* any, also one that is down */
+struct host *cluster_replace(struct host *gone);                  /* an empty one at another address */
+int cluster_is_cut(const struct cluster *c, const struct host *h);
+int cluster_in_touch(const struct cluster *c, const struct host *h);
+void cluster_core_trouble(struct cluster *c);
+void cluster_tell(struct cluster *c, int64_t job, const char *format, ...) __attribute__((format(printf, 3, 4)));
+char *cluster_story(const struct cluster *c);    /* owned by the caller */
+
+/* --- cluster_net.c ---------------------------------------------------------------------------- */
+void cluster_push(struct cluster *c, struct cluster_event *event, int64_t atUs);
+struct cluster_event *cluster_pop(struct cluster *c, int64_t untilUs);
+void cluster_deliver(struct cluster *c, struct cluster_event *event);
+void cluster_event_free(struct cluster_event *event);
+void cluster_at(struct cluster *c, int64_t inMs, cluster_action *action, void *arg, int64_t n);
+void cluster_calls_net(struct world_calls *calls);
+/* header: lines "Name: value\n"; from outside, or from the stand-in beside to */
+void cluster_ask(struct cluster *c, struct host *to, struct standin *from, int64_t entry, const char *method,
+                 const char *path, const char *header, const char *body, int64_t waitMs, cluster_answer *answer,
+                 void *arg, int64_t tag);
+void cluster_reply(struct cluster *c, int64_t call, int status, const char *body);    /* by a stand-in */
+/* value of a header line, in a static buffer; NULL: not there */
+const char *header_find(const char *lines, const char *name);
+
+/* --- cluster_disk.c ------------------------------------------------------------------------- */
+struct cluster_disk *cluster_disk_new(uint64_t seed);
+void cluster_disk_free(struct cluster_disk *disk);
+void cluster_disk_clear(struct cluster_disk *disk);
+void cluster_disk_power_loss(struct cluster_disk *disk);
+void cluster_disk_stall(struct cluster_disk *disk, int64_t untilUs);
+void cluster_calls_disk(struct world_calls *calls);
+
+/* --- cluster_executor.c, cluster_runs.c ------------------------------------------------------- */
+struct standin *standin_new(struct host *host, int64_t index);
+void standin_free(struct standin *s);
+void standin_boot(struct standin *s);
+void standin_crash(struct standin *s, int64_t backMs);       /* dark; a new life after backMs, < 0: never */
+void standin_drain(struct standin *s, int64_t backMs);
+void standin_tick(struct standin *s);
+void standin_take(struct standin *s, int64_t call, const char *path, const char *header, const char *body, int late);
+int64_t standin_clock_ms(const struct standin *s);
+struct standin *cluster_standin(struct cluster *c, int64_t n);
+int standin_start(struct standin *s, const struct board_job *job, int64_t task, int64_t attempt, const char *text,
+                  const char *saved, int late);
+struct standin_run *standin_run(struct standin *s, int64_t job, int64_t task);
+void standin_stop(struct standin *s, struct standin_run *run);
+void standin_finish(struct standin *s, struct standin_run *run, enum standin_end how);
+void standin_work(struct standin *s, int64_t passedUs);
+void standin_lapse(struct standin *s);
+void run_free(struct standin_run *run);
+void standin_bar(struct standin *s, int64_t job, int64_t task, int64_t attempt);
+int64_t standin_barred(const struct standin *s, int64_t job, int64_t task);
+void standin_used(const struct standin *s, int64_t *cpuMilli, int64_t *memoryMb, int64_t *gpus);
+
+/* --- cluster_callers.c -------------------------------------------------------------------------- */
+enum job_shape {
+    SHAPE_ONE, SHAPE_STEPS, SHAPE_GANG, SHAPE_LABEL, SHAPE_NEAR, SHAPE_APART, SHAPE_LASTING, SHAPE_TIMED, SHAPE_SAVES,
+    SHAPE_HOPELESS, SHAPE_POISON, SHAPE_RAW, SHAPE_LARGE, SHAPE_TWICE, SHAPE_COUNT
+};
+struct board_job *callers_job(struct cluster *c, enum job_shape shape);      /* made, not sent */
+void callers_send(struct cluster *c, struct board_job *job);
+void callers_load(struct cluster *c, int64_t perS, int64_t forMs);
+void callers_burst(struct cluster *c, int64_t jobs, enum job_shape shape);
+void callers_cancel(struct cluster *c, struct board_job *job);
+struct board_job *board_job(const struct cluster *c, int64_t id);
+struct board_row *board_row(const struct board_job *job, int64_t task);      /* NULL: there is none such */
+struct board_gang *board_gang(struct board_job *job, int64_t time, int64_t step, int64_t attempt);
+void board_free(struct board_job *job);
+int64_t callers_unfinished(const struct cluster *c);
+/* All faults end; everything must come to its end within CLOSE_MS. */
+void cluster_close(struct cluster *c);
+
+/* --- cluster_operator.c --------------------------------------------------------------------------- */
+void operator_first(struct cluster *c);          /* until it is taken */
+void operator_change(struct cluster *c, int race, int invalid);
+void operator_read(struct cluster *c);
+void operator_last(struct cluster *c);
+const char *operator_body(const struct cluster *c, int64_t n);        /* what the nth change said */
+void operator_free(struct cluster *c);
+
+/* --- cluster_oracle.c: every breach is a line -------------------------------------------------------- */
+void judge_say(struct cluster *c, int64_t job, const char *format, ...) __attribute__((format(printf, 3, 4)));
+void judge_begun(struct standin *s, struct standin_run *run, const char *text, const char *saved, int late);
+void judge_ended(struct standin *s, const struct standin_run *run, enum standin_end how, int64_t seq);
+void judge_noted(struct standin *s, int64_t seen);
+void judge_lapsed(struct standin *s);
+void judge_shown(struct cluster *c, struct board_job *job, const char *state, const struct host *by);
+void judge_gone(struct cluster *c, struct board_job *job, const struct host *by);      /* answered 410 */
+void judge_cancelled(struct cluster *c, struct board_job *job);
+void judge_over(struct cluster *c);              /* at the end of a run */
+const char *end_name(int64_t how);
+
+/* --- cluster_dialect.c ---------------------------------------------------------------------------------- */
+struct executor_dialect;
+struct door_dialect;
+extern const struct executor_dialect clusterExecutorDialect;
+extern const struct door_dialect clusterDoorDialect;
+#endif
--- /dev/null
+++ b/sim/cluster_disk.c
@@ -0,0 +1,88 @@
+/* Lends a cluster's hosts the disks of the older simulator, whose headers do not
+ * go together with those of the cores run here. */
+#include <stdlib.h>
+
+#include "base/problem.h"
+#include "sim/sim.h"
+
+struct cluster_disk;
+struct cluster_disk *cluster_disk_new(uint64_t seed);
+void cluster_disk_free(struct cluster_disk *disk);
+void cluster_disk_clear(struct cluster_disk *disk);
+void cluster_disk_power_loss(struct cluster_disk *disk);
+void cluster_disk_stall(struct cluster_disk *disk, int64_t untilUs);
+void cluster_calls_disk(struct world_calls *calls);
+struct cluster_disk *host_disk(struct world *w, int64_t *nowUs);
+void host_stall(struct world *w, int64_t byUs);
+
+struct cluster_disk {
+    struct machine machine;
+    struct sim *sim;
+};
+
+struct cluster_disk *cluster_disk_new(uint64_t seed)
+{
+    struct cluster_disk *disk = must_alloc(sizeof *disk);
+    disk->sim = must_alloc(sizeof *disk->sim);
+    disk->sim->state = seed;
+    disk->machine.sim = disk->sim;
+    disk->machine.disk.syncUs = 2000;
+    return disk;
+}
+
+void cluster_disk_clear(struct cluster_disk *disk) { sim_disk_clear(&disk->machine.disk); }
+void cluster_disk_power_loss(struct cluster_disk *disk) { sim_disk_power_loss(&disk->machine); }
+void cluster_disk_stall(struct cluster_disk *disk, int64_t untilUs) { disk->machine.disk.stallUntilUs = untilUs; }
+
+void cluster_disk_free(struct cluster_disk *disk)
+{
+    if (!disk)
+        return;
+    cluster_disk_clear(disk);
+    free(disk->sim);
+    free(disk);
+}
+
+static const struct world_calls *lent(void)
+{
+    static struct world_calls calls;
+    if (!calls.disk_list)
+        sim_calls_disk(&calls);
+    return &calls;
+}
+
+/* A call of a host's, made on its disk at its time; what it waits for is the host's to wait. */
+#define LENT(W, CALL) \
+    int64_t nowUs; \
+    struct cluster_disk *disk = host_disk(W, &nowUs); \
+    if (!disk) \
+        return P_DISK; \
+    disk->sim->nowUs = nowUs; \
+    disk->machine.stallUs = 0; \
+    struct world *to = &disk->machine.base; \
+    int rc = CALL; \
+    host_stall(W, disk->machine.stallUs); \
+    return rc
+
+static int disk_list(struct world *w, void (*each)(void *arg, const char *name), void *arg)
+{
+    LENT(w, lent()->disk_list(to, each, arg));
+}
+static int disk_read(struct world *w, const char *name, struct bytes *into)
+{
+    LENT(w, lent()->disk_read(to, name, into));
+}
+static int disk_add(struct world *w, const char *name, const void *at, int64_t len)
+{
+    LENT(w, lent()->disk_add(to, name, at, len));
+}
+static int disk_cut(struct world *w, const char *name, int64_t len) { LENT(w, lent()->disk_cut(to, name, len)); }
+static int disk_sync(struct world *w, const char *name) { LENT(w, lent()->disk_sync(to, name)); }
+static int disk_sync_names(struct world *w) { LENT(w, lent()->disk_sync_names(to)); }
+static int disk_rename(struct world *w, const char *from, const char *name)
+{
+    LENT(w, lent()->disk_rename(to, from, name));
+}
+static int disk_remove(struct world *w, const char *name) { LENT(w, lent()->disk_remove(to, name)); }
+
+void cluster_calls_disk(struct world_calls *calls) { WORLD_TAKE_DISK(calls); }
--- /dev/null
+++ b/sim/cluster_net.c
@@ -0,0 +1,377 @@
+/* Events, frames and calls of a simulated cluster under its virtual clock. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/agent.h"
+#include "base/events.h"
+#include "base/frame.h"
+#include "controller/controller.h"
+#include "sim/cluster.h"
+
+static struct host *host_of(struct world *w) { return (struct host *)w; }
+static int64_t later(int64_t a, int64_t b) { return a > b ? a : b; }
+
+static int earlier(const struct cluster_event *a, const struct cluster_event *b)
+{
+    return a->atUs != b->atUs ? a->atUs < b->atUs : a->order < b->order;
+}
+
+void cluster_push(struct cluster *c, struct cluster_event *event, int64_t atUs)
+{
+    event->atUs = later(atUs, c->nowUs);
+    event->order = c->order++;
+    *list_more(c->heap, c->nHeap) = event;
+    int64_t i = c->nHeap - 1;
+    while (i > 0 && earlier(c->heap[i], c->heap[(i - 1) / 2])) {
+        struct cluster_event *t = c->heap[i];
+        c->heap[i] = c->heap[(i - 1) / 2];
+        c->heap[(i - 1) / 2] = t;
+        i = (i - 1) / 2;
+    }
+}
+
+struct cluster_event *cluster_pop(struct cluster *c, int64_t untilUs)
+{
+    if (!c->nHeap || c->heap[0]->atUs > untilUs)
+        return NULL;
+    struct cluster_event *event = c->heap[0];
+    c->heap[0] = c->heap[--c->nHeap];
+    for (int64_t i = 0;;) {
+        int64_t least = i;
+        for (int64_t k = 2 * i + 1; k <= 2 * i + 2 && k < c->nHeap; k++)
+            if (earlier(c->heap[k], c->heap[least]))
+                least = k;
+        if (least == i)
+            return event;
+        struct cluster_event *t = c->heap[i];
+        c->heap[i] = c->heap[least];
+        c->heap[least] = t;
+        i = least;
+    }
+}
+
+void cluster_event_free(struct cluster_event *event)
+{
+    blob_drop(event->frame);
+    free(event->method);
+    free(event->path);
+    free(event->header);
+    free(event->body);
+    free(event);
+}
+
+static struct cluster_event *new_event(enum cluster_event_kind kind, struct host *to)
+{
+    struct cluster_event *event = must_alloc(sizeof *event);
+    event->kind = kind;
+    event->to = to;
+    event->generation = to ? to->generation : 0;
+    return event;
+}
+
+void cluster_at(struct cluster *c, int64_t inMs, cluster_action *action, void *arg, int64_t n)
+{
+    struct cluster_event *event = new_event(CEV_ACTION, NULL);
+    event->action = action;
+    event->arg = arg;
+    event->n = n;
+    cluster_push(c, event, c->nowUs + inMs * 1000);
+}
+
+/* --- frames ----------------------------------------------------------------------- */
+
+/* When something sent now arrives; what a process still does takes its time first. */
+static int64_t arrival(struct cluster *c, const struct host *from, const struct host *to)
+{
+    int64_t atUs = c->nowUs + (from ? from->stallUs : 0) + 100 + cluster_pick(c, 300);
+    if (from && to && strcmp(from->zone, to->zone))
+        atUs += 900;
+    if (!from)
+        atUs += 3000;                        /* from outside */
+    return atUs + (from != to ? c->slowLinkMs * 1000 : 0);
+}
+
+static void net_send(struct world *w, uint64_t addr, struct blob *frame, int lossy)
+{
+    struct host *from = host_of(w), *to = NULL;
+    struct cluster *c = from->cluster;
+    for (int64_t i = 0; i < c->n; i++)
+        if (c->hosts[i]->base.self == addr)
+            to = c->hosts[i];
+    if (!to || c->cut[from->index][to->index] || (lossy && cluster_pick(c, 100) < c->lossPct))
+        return;
+    struct cluster_event *event = new_event(CEV_FRAME, to);
+    event->frame = blob_hold(frame);
+    int64_t atUs = arrival(c, from, to), *last = &c->lastUs[from->index][to->index];
+    if (!lossy)
+        atUs = *last = later(atUs, *last + 1);
+    cluster_push(c, event, atUs);
+}
+
+/* --- calls ---------------------------------------------------------------------- */
+
+static struct cluster_call *call_find(struct cluster *c, int64_t id)
+{
+    for (int64_t i = 0; i < c->nCallsOpen; i++)
+        if (c->calls[i].id == id)
+            return &c->calls[i];
+    return NULL;
+}
+
+static void call_end(struct cluster *c, int64_t id, int status, const char *body)
+{
+    struct cluster_call *at = call_find(c, id);
+    if (!at)
+        return;
+    struct cluster_call call = *at;
+    *at = c->calls[--c->nCallsOpen];
+    const char *text = body ? body : "";
+    if (call.outside)
+        call.outside(c, call.arg, call.tag, status, text);
+    else if (call.from->up && call.from->generation == call.fromGeneration)
+        call.done(call.arg, call.tag, status, text, (int64_t)strlen(text));
+}
+
+static struct cluster_event *call_begin(struct cluster *c, struct cluster_call call, int64_t waitMs)
+{
+    call.id = ++c->nCalls;
+    *list_more(c->calls, c->nCallsOpen) = call;
+    struct cluster_event *timeout = new_event(CEV_TIMEOUT, call.from);
+    timeout->call = call.id;
+    cluster_push(c, timeout, c->nowUs + (waitMs > 0 ? waitMs : 1) * 1000);
+    struct cluster_event *ask = new_event(call.standin && call.from ? CEV_STANDIN : CEV_ASK, call.to);
+    ask->call = call.id;
+    return ask;
+}
+
+static void net_call_with(struct world *w, uint64_t addr, const char *method, const char *path, const char *header,
+                          const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag)
+{
+    struct host *from = host_of(w);
+    struct cluster *c = from->cluster;
+    struct standin *s = from->standin;
+    if (!s || addr != from->base.self + 2000) {
+        judge_say(c, 0, "%s calls an address that is not its executor's", from->name);
+        s = NULL;
+    }
+    struct cluster_event *ask = call_begin(c, (struct cluster_call){.from = from, .fromGeneration = from->generation,
+                                           .to = from, .standin = s, .done = done, .arg = arg, .tag = tag}, waitMs);
+    ask->method = must_dup(method);
+    ask->path = must_dup(path);
+    ask->header = must_dup(header);
+    ask->body = must_dup(body ? body : "");
+    ask->generation = s ? s->generation : 0;
+    if (!s || !s->up) {                      /* nobody listens there */
+        cluster_reply(c, ask->call, 0, "");
+        cluster_event_free(ask);
+        return;
+    }
+    int64_t atUs = arrival(c, from, from);
+    ask->late = c->nowUs < s->lateUs && cluster_pick(c, 3) == 0;
+    if (ask->late)
+        atUs += 2000000 + cluster_pick(c, 10000000);
+    else if (c->nowUs < s->hangUs)
+        atUs = s->hangUs + cluster_pick(c, 200000);
+    cluster_push(c, ask, atUs);
+}
+
+static void net_call(struct world *w, uint64_t addr, const char *method, const char *path, const char *body,
+                     int64_t waitMs, call_done *done, void *arg, int64_t tag)
+{
+    net_call_with(w, addr, method, path, NULL, body, waitMs, done, arg, tag);
+}
+
+void cluster_ask(struct cluster *c, struct host *to, struct standin *from, int64_t entry, const char *method,
+                 const char *path, const char *header, const char *body, int64_t waitMs, cluster_answer *answer,
+                 void *arg, int64_t tag)
+{
+    struct cluster_event *ask =
+        call_begin(c, (struct cluster_call){.to = to, .standin = from, .outside = answer, .arg = arg, .tag = tag}, waitMs);
+    ask->entry = entry;
+    ask->method = must_dup(method);
+    ask->path = must_dup(path);
+    ask->header = must_dup(header);
+    ask->body = must_dup(body ? body : "");
+    cluster_push(c, ask, arrival(c, from ? to : NULL, to));
+}
+
+static void reply_at(struct cluster *c, int64_t id, int status, const char *body, int64_t atUs)
+{
+    struct cluster_call *call = call_find(c, id);
+    if (!call)
+        return;
+    struct cluster_event *event = new_event(CEV_ANSWER, call->from);
+    event->call = id;
+    event->generation = call->fromGeneration;
+    event->status = status;
+    event->body = must_dup(body ? body : "");
+    cluster_push(c, event, atUs);
+}
+
+void cluster_reply(struct cluster *c, int64_t call, int status, const char *body)
+{
+    reply_at(c, call, status, body, c->nowUs + 50 + cluster_pick(c, 100));
+}
+
+static void net_answer(struct world *w, int64_t slot, int status, int64_t retryMs, const char *body)
+{
+    struct host *from = host_of(w);
+    (void)retryMs;
+    reply_at(from->cluster, slot, status, body, arrival(from->cluster, from, from) + 1000);
+}
+
+/* --- delivery --------------------------------------------------------------------- */
+
+const char *header_find(const char *lines, const char *name)
+{
+    static char value[200];
+    size_t len = strlen(name);
+    for (const char *at = lines; at && *at; at = strchr(at, '\n') ? strchr(at, '\n') + 1 : NULL)
+        if (!strncasecmp(at, name, len) && at[len] == ':') {
+            snprintf(value, sizeof value, "%.*s", (int)strcspn(at + len + 2, "\n"), at + len + 2);
+            return value;
+        }
+    return NULL;
+}
+
+static const char *web_header(const struct web_ask *ask, const char *name) { return header_find(ask->arg, name); }
+
+/* A door that says what a test wants. */
+static void fake_answer(struct cluster *c, const struct cluster_event *event)
+{
+    char *answer = NULL;
+    int status = c->fake(c, event->method, event->path, event->body, &answer);
+    cluster_reply(c, event->call, status, answer ? answer : "{}");
+    free(answer);
+}
+
+static void to_host(struct cluster *c, struct host *h, struct cluster_event *event)
+{
+    if (c->fake) {
+        if (event->kind == CEV_ASK)
+            fake_answer(c, event);
+        return;
+    }
+    struct web_ask web = {.entry = event->entry, .method = event->method, .path = event->path, .body = event->body,
+                          .len = event->body ? (int64_t)strlen(event->body) : 0, .header = web_header,
+                          .arg = event->header};
+    if (event->kind == CEV_TICK)
+        h->controller ? controller_tick(h->controller) : agent_tick(h->agent);
+    else if (event->kind == CEV_FRAME && h->controller)
+        controller_take(h->controller, event->frame->bytes.at, event->frame->bytes.len);
+    else if (event->kind == CEV_FRAME)
+        agent_take(h->agent, event->frame->bytes.at, event->frame->bytes.len);
+    else if (event->kind == CEV_ASK)
+        h->controller ? controller_ask(h->controller, event->call, &web) : agent_ask(h->agent, event->call, &web);
+    else if (event->kind == CEV_ANSWER)
+        call_end(c, event->call, event->status, event->body);
+    else if (event->kind == CEV_TIMEOUT)
+        call_end(c, event->call, 0, "");
+    else if (event->kind == CEV_FLUSH) {
+        h->flushDue = 0;
+        h->controller ? controller_flush(h->controller) : agent_flush(h->agent);
+    }
+    if (h->flushDue || event->kind == CEV_FLUSH)
+        return;
+    /* as in the processes: once a round of the loop, behind all that has arrived by now */
+    h->flushDue = 1;
+    cluster_push(c, new_event(CEV_FLUSH, h), c->nowUs);
+}
+
+/* Events that are not a core's; 1: done with. */
+static int outside(struct cluster *c, struct cluster_event *event)
+{
+    struct host *h = event->to;
+    if (event->kind == CEV_ACTION)
+        event->action(c, event->arg, event->n);
+    else if (event->kind == CEV_STANDIN && event->call) {
+        if (h->standin->up && h->standin->generation == event->generation)
+            standin_take(h->standin, event->call, event->path, event->header, event->body, (int)event->late);
+    } else if (event->kind == CEV_STANDIN) {
+        if (h->standin->up && h->standin->generation == event->generation) {
+            standin_tick(h->standin);
+            cluster_push(c, event, c->nowUs + STANDIN_TICK_US);
+            return 1;
+        }
+    } else if (!h && event->kind == CEV_ANSWER)
+        call_end(c, event->call, event->status, event->body);
+    else if (!h)
+        call_end(c, event->call, 0, "");
+    else
+        return 0;
+    cluster_event_free(event);
+    return 1;
+}
+
+void cluster_deliver(struct cluster *c, struct cluster_event *event)
+{
+    struct host *h = event->to;
+    if (outside(c, event))
+        return;
+    if (!h->up || h->generation != event->generation) {
+        if (event->kind == CEV_ASK)          /* a dead port resets */
+            cluster_reply(c, event->call, 0, "");
+        cluster_event_free(event);
+        return;
+    }
+    if (h->frozen || h->busyUntilUs > c->nowUs) {
+        cluster_push(c, event, later(h->frozen ? h->thawUs : 0, h->busyUntilUs));
+        return;
+    }
+    h->stallUs = 0;
+    to_host(c, h, event);
+    h->busyUntilUs = c->nowUs + h->stallUs;
+    h->stallUs = 0;
+    if (event->kind == CEV_TICK && h->up)
+        cluster_push(c, event, c->nowUs + CLUSTER_TICK_US);
+    else
+        cluster_event_free(event);
+}
+
+/* --- clocks, notes, what the disks need --------------------------------------------- */
+
+static int64_t mono_ms(struct world *w)
+{
+    struct host *h = host_of(w);
+    return (h->cluster->nowUs + h->stallUs) / 1000 + 100000 + h->index * 7919;
+}
+
+static int64_t wall_ms(struct world *w)
+{
+    struct host *h = host_of(w);
+    return cluster_wall_ms(h->cluster) + h->stallUs / 1000 + h->skewMs;
+}
+
+static uint64_t random_u64(struct world *w) { return cluster_random(host_of(w)->cluster); }
+
+static void note(struct world *w, int event, const char *text)
+{
+    struct host *h = host_of(w);
+    const struct event_kind *kind = event_kind(event);
+    if (kind && (h->cluster->trace > 1 || kind->level > LEVEL_DEBUG))
+        cluster_tell(h->cluster, 0, "%-8s %s: %s", h->name, kind->text, text);
+}
+
+struct cluster_disk *host_disk(struct world *w, int64_t *nowUs);
+void host_stall(struct world *w, int64_t byUs);
+
+struct cluster_disk *host_disk(struct world *w, int64_t *nowUs)
+{
+    *nowUs = host_of(w)->cluster->nowUs + host_of(w)->stallUs;
+    return host_of(w)->disk;
+}
+
+void host_stall(struct world *w, int64_t byUs) { host_of(w)->stallUs += byUs; }
+
+void cluster_calls_net(struct world_calls *calls)
+{
+    calls->mono_ms = mono_ms;
+    calls->wall_ms = wall_ms;
+    calls->random = random_u64;
+    calls->send = net_send;
+    calls->call = net_call;
+    calls->call_with = net_call_with;
+    calls->answer = net_answer;
+    calls->note = note;
+}
--- a/sim/sim_net.c
+++ b/sim/sim_net.c
@@ -191,6 +191,14 @@
                method, path, body ? body : "");
 }
 
+/* No core of the simulator's uses the header yet, so it is not carried. */
+static void net_call_with(struct world *w, uint64_t addr, const char *method, const char *path, const char *header,
+                          const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag)
+{
+    (void)header;
+    net_call(w, addr, method, path, body, waitMs, done, arg, tag);
+}
+
 void sim_ask(struct sim *sim, struct machine *to, const char *method, const char *path, const char *body,
              sim_answer *answer, void *arg, int64_t tag)
 {
@@ -334,6 +342,7 @@
     calls->random = random_u64;
     calls->send = net_send;
     calls->call = net_call;
+    calls->call_with = net_call_with;
     calls->answer = net_answer;
     calls->note = note;
 }
--- /dev/null
+++ b/src/agent/agent_state.h
@@ -0,0 +1,148 @@
+/* What an agent holds between its calls. Internal to src/agent. */
+#ifndef SAGEHITCH_AGENT_STATE_H
+#define SAGEHITCH_AGENT_STATE_H
+#include "agent/agent.h"
+
+/* All times are on the agent's steady clock unless a name says otherwise. */
+enum agent_tuning {
+    WORK_CALLS_MAX = 3,          /* starts and stops under way at once */
+    CALLS_MAX = WORK_CALLS_MAX + 3,  /* beside them a look, one of a former epoch, a probe of a new life */
+    CALL_WAIT_MS = 1000,         /* for a start, a stop, a look that does not wait */
+    POLL_MS = 1000,              /* a look waits so long for an end */
+    POLL_LEAST_MS = 200,
+    POLL_MARGIN_MS = 700,        /* beyond its waiting, until a look counts as unanswered */
+    RENEW_MS = 900,              /* a look is to be back so long before the hold ends */
+    RENEW_GAIN_MS = 300,         /* an expiry is renewed if it gains as much */
+    PACE_MS = 40,                /* after a look, so that several ends come in one */
+    PROVE_MS = 20,               /* from the answer to a stop to the look that shows its end */
+    SEEN_MS = 300,               /* seen is told so soon where nothing runs */
+    IDLE_LOOK_MS = 5000,
+    RETRY_MS = 200, RETRY_MOST_MS = 1000,
+    RETRY_STOP_MS = 100, RETRY_STOP_MOST_MS = 500,
+    SICK_MS = 300, SICK_TRIES = 3,
+    START_LEAST_MS = 300,        /* no start with less of a lease than this */
+    REPORT_LEAST_MS = 10,
+    DOUBT_MS = 1000,             /* a leader that says nothing for so long is doubted */
+    LEFT_MS = 500,               /* silent so long after saying it leaves: over */
+    LEFT_LOOK_MS = 200,
+    INHERIT_MS = 20000,          /* calls of an earlier process of ours may still be carried out */
+    CLOSED_MS = 30000,           /* acknowledged refusals are remembered against late orders */
+    LAST_LOOK_MS = 800, LEAVE_SPARE_MS = 1500,
+    ENDED_MOST = 500,            /* a look may show no more ends than this */
+    SLOW_PCT = 98,               /* the executor's clock may run at so much of true time */
+    OVER_MARGIN_MS = 50,
+    OVER_LIVES = 32
+};
+
+/* How far an order to start or stop has come. */
+enum work_state {
+    WORK_START,          /* to be started, not answered yet */
+    WORK_STARTED,        /* answered 200: active until a look sent later tells */
+    WORK_CHECK,          /* turned away as old: a look sent later tells whether it ended there */
+    WORK_STOP,           /* to be stopped, not answered yet */
+    WORK_STOPPED,        /* stop answered: its end, or a look sent later that shows nothing, is waited for */
+    WORK_REFUSED,        /* told until acknowledged */
+    WORK_ABSENT,         /* likewise, as END_ABSENT */
+    WORK_CLOSED          /* acknowledged, remembered for a while */
+};
+
+/* Invariants: one entry for each job, task and attempt. doubt: a start may still be carried
+ * out by the executor without our knowing, so that only a stop settles it; a refusal is
+ * told only without doubt. answeredNo: a look numbered above it was sent after the answer. */
+struct work {
+    struct run_start start;
+    int64_t state, reason, closedAbsent;
+    int64_t underWay;            /* number of the call whose answer settles it, 0: none */
+    int64_t doubt, sick, dueMs, retryMs, answeredNo, answeredMs, untilMs;
+};
+
+enum call_kind { CALL_FREE, CALL_START, CALL_STOP, CALL_LOOK, CALL_PROBE };
+
+/* A call under way. number rises with every call sent. */
+struct executor_ask {
+    int64_t kind, number, epoch, sentMs, expiresMs, seen;
+    char *life;
+    struct run_ref run;
+};
+
+/* The executor's life that is spoken with. Invariants: clockMs was its clock at the latest at
+ * clockAtMs; sentExpiryMs is the largest expiry in any call ever sent to it, heldMs the largest
+ * in an answered one (both on its clock); seen never falls and is only what the leader said. */
+struct agent_life {
+    int64_t present, ready;
+    int64_t left, leftMs, leftSilentMs;            /* leftSilentMs: a call sent after it left was not answered */
+    int64_t beatSeq;
+    struct executor_state state;
+    int64_t clockMs, clockAtMs, sentExpiryMs, heldMs;
+    int64_t seen, seenTold, seenRaisedMs;
+    int64_t silentSinceMs, retryMs, retryDueMs;    /* silentSinceMs 0: it answers */
+    int64_t lookDoneMs, proveMs;
+    struct executor_task *active;
+    int64_t nActive;
+    struct executor_task *ended;                   /* by rising seq, all above seen */
+    int64_t nEnded;
+};
+
+struct agent {
+    struct world *w;
+    struct agent_setup setup;
+    struct directory directory;
+    uint32_t cluster;
+    int64_t startedMs;
+    int64_t epoch;                   /* the highest ever ordered under */
+    int64_t fencedEpoch;             /* the executor knew of a higher one than this */
+    int64_t grantUntilMs, grantStampMs;      /* for the current life alone */
+    int64_t lastStampMs;
+    struct agent_life life;
+    struct executor_beat candidate;  /* a life that says it took the place; life NULL: none */
+    int64_t candidateDueMs, candidateRetryMs;
+    char *over[OVER_LIVES];          /* lives known to be over, a ring */
+    int64_t nOver;
+    char **lost;
+    int64_t nLost;
+    struct work *works;
+    int64_t nWorks;
+    struct executor_ask calls[CALLS_MAX];
+    int64_t number;
+    int64_t news, heardMs, leader, leaderMs;
+    int64_t leaving, leaveMs, lastLookDueMs, lastLookSent, left;
+};
+
+static inline int work_is(const struct work *work, int64_t job, int64_t task, int64_t attempt)
+{
+    return work->start.job == job && work->start.task == task && work->start.attempt == attempt;
+}
+
+/* agent_lease.c */
+int64_t agent_clock_ms(const struct agent *a, int64_t now);       /* the executor's clock, at least */
+int64_t agent_best_expiry(const struct agent *a, int64_t now);    /* on its clock; 0: none can be given */
+int64_t agent_over_ms(const struct agent *a, int64_t now);
+void agent_clock_heard(struct agent *a, int64_t clockMs, int64_t now);
+
+/* agent_calls.c */
+void agent_calls_step(struct agent *a, int64_t now);
+const struct executor_task *agent_find(const struct executor_task *tasks, int64_t n, int64_t job, int64_t task,
+                                       int64_t attempt);
+
+/* agent_works.c */
+struct work *agent_work(struct agent *a, int64_t job, int64_t task, int64_t attempt);     /* NULL: none */
+void agent_work_drop(struct agent *a, struct work *work);
+void agent_work_stop(struct work *work, int64_t now);                 /* to be stopped, from whatever state */
+void agent_work_refused(struct agent *a, struct work *work, int64_t reason);
+void agent_works_shown(struct agent *a, int64_t number, int whole, int64_t now);      /* a look was taken in */
+void agent_works_step(struct agent *a, int64_t now);
+void agent_order_start(struct agent *a, const struct run_start *start, int64_t now);
+void agent_order_stop(struct agent *a, const struct run_ref *run, int64_t now);
+void agent_end_seen(struct agent *a, const struct run_ref *run, int64_t now);
+void agent_works_epoch(struct agent *a);                              /* orders of a lower epoch count no more */
+int agent_inherits(const struct agent *a, int64_t now);
+
+/* agent_beats.c */
+void agent_life_over(struct agent *a, const char *life);              /* proven */
+void agent_candidate_answered(struct agent *a);
+void agent_life_end(struct agent *a);
+
+/* agent_report.c */
+void agent_report_send(struct agent *a, int64_t to, int64_t now);
+void agent_orders_take(struct agent *a, const struct agent_orders *orders, int64_t now);
+#endif
--- a/src/base/frame.h
+++ b/src/base/frame.h
@@ -12,6 +12,10 @@
     FRAME_SEND_ON, FRAME_SENT_ON,                                  /* door */
     FRAME_ROOMS, FRAME_RESERVE, FRAME_RESERVED, FRAME_RELEASE,     /* home */
     FRAME_START, FRAME_STOP, FRAME_GO, FRAME_CHECK, FRAME_CHECKED, FRAME_ENDED, FRAME_ENDED_ACK,
+    FRAME_WHO, FRAME_WHO_IS,                                       /* directory */
+    FRAME_COLLECT, FRAME_COLLECTED, FRAME_FOUNDERS,                /* founding of controllers */
+    FRAME_ASK, FRAME_ANSWER,                                       /* controller: sent on to the leader */
+    FRAME_REPORT, FRAME_ORDERS,                                    /* dispatch: agents and the leader */
     FRAME_LAST
 };
 
--- a/src/base/problem.c
+++ b/src/base/problem.c
@@ -23,6 +23,7 @@
     [-P_DENIED] = {.name = "denied", .status = 409},
     [-P_BAD_METHOD] = {.name = "bad_method", .status = 405},
     [-P_BAD_PARAM] = {.name = "bad_param", .status = 500},
+    [-P_GONE] = {.name = "gone", .status = 410},
 };
 
 static const struct problem_answer unknownAnswer = {.name = "unknown", .status = 500};
--- a/src/base/problem.h
+++ b/src/base/problem.h
@@ -27,7 +27,8 @@
     P_DENIED = -19,       /* a reservation that the account does not allow */
     P_BAD_METHOD = -20,
     P_BAD_PARAM = -21,    /* a local setting is wrong */
-    P_LAST = -22
+    P_GONE = -22,         /* no such job, or its time to be shown is over */
+    P_LAST = -23
 };
 
 struct problem_answer {
--- a/src/base/world.h
+++ b/src/base/world.h
@@ -21,6 +21,9 @@
     void (*send)(struct world *w, uint64_t to, struct blob *frame, int lossy);
     void (*call)(struct world *w, uint64_t to, const char *method, const char *path, const char *body,
                  int64_t waitMs, call_done *done, void *arg, int64_t tag);
+    /* the same with one more header line "Name: value" (NULL: none); connections are kept and used again */
+    void (*call_with)(struct world *w, uint64_t to, const char *method, const char *path, const char *header,
+                      const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag);
     void (*answer)(struct world *w, int64_t slot, int status, int64_t retryMs, const char *body);
     void (*note)(struct world *w, int event, const char *text);
     /* Disk, one flat folder. All return 0 or a problem. What is written lasts
--- /dev/null
+++ b/src/controller/directory.c
@@ -0,0 +1,184 @@
+#include "controller/directory.h"
+
+#include <string.h>
+
+enum {
+    LEADER_ASK_MS = 500, SEARCH_MS = 150, SEARCH_LONG_MS = 300, SEARCH_AT_ONCE = 8,
+    HEARD_MS = 1200,         /* a leader unheard for longer is looked for */
+    LIVING_MS = 10000,       /* heard directly within so long: told to others */
+    FORGET_MS = 60000
+};
+
+static struct directory_entry *entry_of(struct directory *d, int64_t addr)
+{
+    for (int64_t i = 0; i < d->n; i++)
+        if (d->entries[i].addr == addr)
+            return &d->entries[i];
+    return NULL;
+}
+
+static struct directory_entry *entry_add(struct directory *d, int64_t addr)
+{
+    struct directory_entry *e = entry_of(d, addr);
+    if (e || addr <= 0 || addr == (int64_t)d->w->self)
+        return e;
+    if (d->n < COUNT_OF(d->entries)) {
+        e = &d->entries[d->n++];
+    } else {
+        for (int64_t i = 0; i < d->n; i++)
+            if (!d->entries[i].seed && (!e || d->entries[i].heardMs < e->heardMs))
+                e = &d->entries[i];
+        if (!e)
+            return NULL;
+    }
+    *e = (struct directory_entry){.addr = addr, .heardMs = world_ms(d->w)};
+    return e;
+}
+
+void directory_seeds(struct directory *d, const int64_t *seeds, int64_t nSeeds)
+{
+    for (int64_t i = 0; i < d->n; i++)
+        d->entries[i].seed = 0;
+    for (int64_t i = 0; i < nSeeds; i++) {
+        struct directory_entry *e = entry_add(d, seeds[i]);
+        if (e)
+            e->seed = e->controller = 1;
+    }
+}
+
+void directory_start(struct directory *d, struct world *w, uint32_t cluster, const int64_t *seeds, int64_t nSeeds,
+                     int64_t controller, int64_t disk, int64_t boot)
+{
+    *d = (struct directory){.w = w, .cluster = cluster, .controller = controller, .disk = disk, .boot = boot};
+    directory_seeds(d, seeds, nSeeds);
+    d->searchMs = world_ms(w);
+}
+
+static void send_shape(struct directory *d, int64_t to, enum frame_kind kind, const struct shape *shape,
+                       const void *msg)
+{
+    struct blob *out = blob_new();
+    frame_build(&out->bytes, kind, d->cluster, d->w->self, shape, msg);
+    d->w->calls->send(d->w, (uint64_t)to, out, 1);
+    blob_drop(out);
+}
+
+static void ask(struct directory *d, int64_t to)
+{
+    struct who_ask m = {.addr = (int64_t)d->w->self, .controller = d->controller, .disk = d->disk, .boot = d->boot};
+    send_shape(d, to, FRAME_WHO, &whoAskShape, &m);
+}
+
+static void forget(struct directory *d)
+{
+    int64_t nowMs = world_ms(d->w);
+    for (int64_t i = 0; i < d->n; i++)
+        if (!d->entries[i].seed && nowMs - d->entries[i].heardMs > FORGET_MS)
+            d->entries[i--] = d->entries[--d->n];
+}
+
+int64_t directory_leader(const struct directory *d)
+{
+    if (d->doubted || (d->leader != (int64_t)d->w->self && world_ms(d->w) - d->leaderHeardMs > HEARD_MS))
+        return 0;
+    return d->leader;
+}
+
+void directory_tick(struct directory *d)
+{
+    int64_t nowMs = world_ms(d->w), leader = directory_leader(d);
+    if (leader)
+        d->searchMs = nowMs;
+    if (nowMs < d->askDueMs)
+        return;
+    if (leader) {
+        d->askDueMs = nowMs + LEADER_ASK_MS;
+        if (leader != (int64_t)d->w->self)
+            ask(d, leader);
+        forget(d);
+        return;
+    }
+    d->askDueMs = nowMs + (nowMs - d->searchMs > 3000 ? SEARCH_LONG_MS : SEARCH_MS);
+    for (int64_t i = 0; i < d->n && i < SEARCH_AT_ONCE; i++)
+        ask(d, d->entries[d->turn++ % d->n].addr);
+}
+
+static void now_leads(struct directory *d, int64_t term, int64_t leader)
+{
+    if (d->doubted || term != d->term || leader != d->leader)
+        d->askDueMs = world_ms(d->w);
+    d->term = term;
+    d->leader = leader;
+    d->leaderHeardMs = world_ms(d->w);
+    d->doubted = 0;
+}
+
+void directory_learn(struct directory *d, int64_t term, int64_t leader)
+{
+    if (term >= d->term && leader)
+        now_leads(d, term, leader);
+}
+
+void directory_doubt(struct directory *d)
+{
+    if (d->doubted)
+        return;
+    d->doubted = 1;
+    d->askDueMs = world_ms(d->w);
+}
+
+static void on_ask(struct directory *d, int64_t from, const struct who_ask *m)
+{
+    int64_t nowMs = world_ms(d->w), list[COUNT_OF(d->entries)];
+    struct who_answer answer = {.term = d->term, .leader = directory_leader(d), .controllers = list};
+    struct directory_entry *e = m->controller ? entry_add(d, from) : NULL;
+    if (e) {
+        e->controller = 1;
+        e->heardMs = e->directMs = nowMs;
+    }
+    for (int64_t i = 0; i < d->n; i++)
+        if (d->entries[i].controller && d->entries[i].directMs && nowMs - d->entries[i].directMs < LIVING_MS)
+            list[answer.n++] = d->entries[i].addr;
+    send_shape(d, from, FRAME_WHO_IS, &whoAnswerShape, &answer);
+}
+
+static void on_answer(struct directory *d, int64_t from, const struct who_answer *m)
+{
+    struct directory_entry *e = entry_add(d, from);
+    int64_t nowMs = world_ms(d->w);
+    if (e) {
+        e->controller = 1;
+        e->heardMs = e->directMs = nowMs;
+    }
+    for (int64_t i = 0; i < m->n; i++)
+        if ((e = entry_add(d, m->controllers[i]))) {
+            e->controller = 1;
+            e->heardMs = nowMs;
+        }
+    if (m->leader == from) {
+        directory_learn(d, m->term, from);
+    } else if (m->leader && (m->term > d->term || (m->term == d->term && !d->leader))) {
+        now_leads(d, m->term, m->leader);
+    } else if (from == d->leader && m->term >= d->term) {
+        d->doubted = 1;          /* it says itself that it leads no more */
+    }
+}
+
+int directory_take(struct directory *d, const struct frame *frame)
+{
+    if (frame->kind == FRAME_WHO) {
+        struct who_ask m = {0};
+        if (!shape_unpack(&whoAskShape, &m, frame->body, frame->len))
+            on_ask(d, (int64_t)frame->from, &m);
+        shape_free(&whoAskShape, &m);
+        return 1;
+    }
+    if (frame->kind == FRAME_WHO_IS) {
+        struct who_answer m = {0};
+        if (!shape_unpack(&whoAnswerShape, &m, frame->body, frame->len))
+            on_answer(d, (int64_t)frame->from, &m);
+        shape_free(&whoAnswerShape, &m);
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/controller/members.c
@@ -0,0 +1,184 @@
+/* Who votes later on: controllers with a disk learn first, and vote once they hold
+ * the log and a voter is gone or too few vote; one change at a time. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/problem.h"
+#include "controller/controller_state.h"
+
+enum {
+    GONE_MS = 2500, STEP_MS = 200, JOIN_MS = 300, UNLED_MS = 1500,
+    LEARNERS = 2         /* who learn in store, beside those at the place of a voter */
+};
+
+void members_on_join(struct controller *c, const struct join *join)
+{
+    struct joiner *at = NULL, *oldest = &c->joiners[0];
+    if (!join->zone)
+        return;
+    for (int64_t i = 0; i < c->nJoiners; i++) {
+        if (c->joiners[i].heardMs < oldest->heardMs)
+            oldest = &c->joiners[i];
+        if (c->joiners[i].join.addr == join->addr)
+            at = &c->joiners[i];
+    }
+    if (!at)
+        at = c->nJoiners < JOINERS_MAX ? &c->joiners[c->nJoiners++] : oldest;
+    shape_free(&joinShape, &at->join);
+    shape_copy(&joinShape, &at->join, join);
+    at->heardMs = world_ms(c->w);
+}
+
+/* Another identity spoke from its address since it did: its disk is gone for good. */
+static int same_place(struct controller *c, const struct log_member *member)
+{
+    const struct log_sibling *s = log_sibling(&c->log, member->id);
+    for (int64_t i = 0; s && i < c->nJoiners; i++) {
+        const struct joiner *j = &c->joiners[i];
+        if (j->join.addr == member->addr && j->join.id != member->id && j->heardMs > s->heardMs)
+            return 1;
+    }
+    return 0;
+}
+
+static int is_gone(struct controller *c, const struct log_member *member)
+{
+    if (member->id == c->id)
+        return 0;
+    struct log_sibling *s = log_sibling(&c->log, member->id);
+    return same_place(c, member) || (s && world_ms(c->w) - s->heardMs > GONE_MS);
+}
+
+static int caught_up(struct controller *c, const struct log_member *member)
+{
+    struct log_sibling *s = log_sibling(&c->log, member->id);
+    return s && s->match >= c->log.commit && s->match > 0;
+}
+
+static int64_t voters_in(const struct controller *c, const char *zone, const struct log_member *without)
+{
+    int64_t n = 0;
+    for (int64_t i = 0; i < c->log.members.n; i++) {
+        const struct log_member *m = &c->log.members.members[i];
+        n += m != without && log_votes(m) && !strcmp(m->zone, zone);
+    }
+    return n;
+}
+
+/* So many of want voters may stand in one zone that losing zones leaves a majority. */
+static int zone_allows(const struct controller *c, const struct log_member *learner, const struct log_member *gone)
+{
+    int64_t want = controller_voters_wanted(c, INT64_MAX);
+    int64_t most = c->setup.zonesLost ? (want - 1) / 2 / c->setup.zonesLost : want;
+    return voters_in(c, learner->zone, gone) < most;
+}
+
+/* The learner that should vote next, in place of gone where there is one. */
+static const struct log_member *best_learner(struct controller *c, const struct log_member *gone)
+{
+    const struct log_member *best = NULL;
+    for (int64_t i = 0; i < c->log.members.n; i++) {
+        const struct log_member *m = &c->log.members.members[i];
+        if (m->voter || is_gone(c, m) || !caught_up(c, m) || !zone_allows(c, m, gone))
+            continue;
+        if (!best || voters_in(c, m->zone, gone) < voters_in(c, best->zone, gone))
+            best = m;
+    }
+    return best;
+}
+
+static int replaced_in_place(struct controller *c, const struct log_member *gone)
+{
+    for (int64_t i = 0; i < c->log.members.n; i++) {
+        const struct log_member *m = &c->log.members.members[i];
+        if (!m->voter && m->addr == gone->addr && m->id != gone->id && !is_gone(c, m) && caught_up(c, m))
+            return !log_replace(&c->log, gone->id, m->id);
+    }
+    return 0;
+}
+
+static void learn_next(struct controller *c)
+{
+    struct log *log = &c->log;
+    int64_t learners = 0, nowMs = world_ms(c->w);
+    for (int64_t i = 0; i < log->members.n; i++)
+        learners += !log->members.members[i].voter;
+    for (int64_t i = 0; i < c->nJoiners; i++) {
+        const struct join *j = &c->joiners[i].join;
+        int atVoter = 0;
+        for (int64_t k = 0; k < log->members.n; k++)
+            atVoter |= log_votes(&log->members.members[k]) && log->members.members[k].addr == j->addr;
+        if (log_member(log, j->id) || nowMs - c->joiners[i].heardMs > GONE_MS || (learners >= LEARNERS && !atVoter))
+            continue;
+        log_change(log, j->id, j->addr, j->zone, VOTES_NOT, 0);
+        return;
+    }
+}
+
+static void step(struct controller *c)
+{
+    struct log *log = &c->log;
+    const struct log_member *gone = NULL, *lost = NULL, *learner;
+    int64_t voters = 0, want = controller_voters_wanted(c, INT64_MAX);
+    if (log_settle(log) != P_NO_SUCH)
+        return;
+    for (int64_t i = 0; i < log->members.n; i++) {
+        const struct log_member *m = &log->members.members[i];
+        int away = is_gone(c, m);
+        voters += log_votes(m);
+        if (log_votes(m) && away && (!gone || same_place(c, m)))
+            gone = m;
+        else if (!m->voter && away)
+            lost = m;
+    }
+    if (lost) {
+        log_change(log, lost->id, lost->addr, NULL, 0, 1);
+        return;
+    }
+    if (gone && replaced_in_place(c, gone))
+        return;
+    learner = best_learner(c, gone);
+    if (gone && learner && voters <= want) {
+        log_exchange(log, gone->id, learner->id);
+        return;
+    }
+    if (!gone && learner && voters < want) {
+        log_change(log, learner->id, learner->addr, learner->zone, VOTES, 0);
+        return;
+    }
+    if (gone && voters > want) {
+        log_change(log, gone->id, gone->addr, NULL, 0, 1);
+        return;
+    }
+    learn_next(c);
+}
+
+static void ask_to_join(struct controller *c)
+{
+    int64_t nowMs = world_ms(c->w);
+    int led = c->log.role == LOG_LEADER || nowMs - c->log.heardLeaderMs < UNLED_MS;
+    struct join join = {.id = c->id, .addr = (int64_t)c->w->self, .zone = c->zone};
+    if ((log_member(&c->log, c->id) && led) || nowMs < c->joinMs)
+        return;
+    c->joinMs = nowMs + JOIN_MS;
+    int64_t leader = directory_leader(&c->directory);
+    if (leader && leader != join.addr)
+        controller_send(c, leader, FRAME_JOIN, &joinShape, &join);
+}
+
+void members_tick(struct controller *c)
+{
+    int64_t nowMs = world_ms(c->w);
+    ask_to_join(c);
+    if (c->log.role != LOG_LEADER || nowMs < c->stepMs)
+        return;
+    c->stepMs = nowMs + STEP_MS;
+    if (nowMs - c->log.leaderSinceMs > GONE_MS && !c->log.handedOverMs)
+        step(c);
+}
+
+void members_end(struct controller *c)
+{
+    for (int64_t i = 0; i < c->nJoiners; i++)
+        shape_free(&joinShape, &c->joiners[i].join);
+}
--- /dev/null
+++ b/src/dispatch/leader.c
@@ -0,0 +1,359 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/problem.h"
+#include "dispatch/leader_state.h"
+
+/* --- ops gather in one open batch a turn ------------------------------------- */
+
+struct record_op *dispatch_op(struct dispatch *d, int64_t kind)
+{
+    if (!d->open)
+        d->open = must_alloc(sizeof *d->open);
+    struct record_op *op = list_more(d->open->ops.ops, d->open->ops.n);
+    op->kind = kind;
+    op->atMs = d->w->calls->wall_ms(d->w);
+    return op;
+}
+
+static void batch_free(struct batch *batch)
+{
+    if (!batch)
+        return;
+    shape_free(&recordBatchShape, &batch->ops);
+    free(batch->waiters);
+    free(batch->promises);
+    free(batch->ends);
+    free(batch);
+}
+
+void dispatch_answer(struct dispatch *d, int64_t ticket, int64_t kind, int problem, const char *detail)
+{
+    struct door_answer answer = {.kind = kind, .problem = problem, .retryMs = problem_answer(problem)->retryMs,
+                                 .detail = (char *)detail};
+    d->calls.answer(d->calls.arg, ticket, &answer);
+}
+
+/* --- runs ------------------------------------------------------------------------ */
+
+static struct tenure *tenure_at(struct dispatch *d, int64_t life)
+{
+    while (d->nTenures <= life)
+        (void)list_more(d->tenures, d->nTenures);
+    return &d->tenures[life];
+}
+
+struct run *run_find(struct dispatch *d, int64_t life, const struct run_ref *ref)
+{
+    if (life < 0 || life >= d->nTenures)
+        return NULL;
+    struct tenure *t = &d->tenures[life];
+    for (int64_t i = 0; i < t->n; i++)
+        if (t->runs[i].task == ref->task && t->runs[i].job->spec.id == ref->job && t->runs[i].attempt == ref->attempt)
+            return &t->runs[i];
+    return NULL;
+}
+
+struct run *run_of_row(struct dispatch *d, const struct job *job, int64_t no)
+{
+    const struct row *row = &job->rows[no];
+    if (row->state != ROW_PLACED || row->life >= d->nTenures)
+        return NULL;
+    struct tenure *t = &d->tenures[row->life];
+    for (int64_t i = 0; i < t->n; i++)
+        if (t->runs[i].job == job && t->runs[i].no == no)
+            return &t->runs[i];
+    return NULL;
+}
+
+int64_t life_find(const struct dispatch *d, const char *name)
+{
+    for (int64_t i = 0; name && i < d->record->nLives; i++)
+        if (d->record->lives[i].placed && !strcmp(d->record->lives[i].name, name))
+            return i;
+    return -1;
+}
+
+static const struct step_spec *step_of(const struct job *job, int64_t no, int64_t *time, int64_t *step)
+{
+    int64_t index;
+    job_place(job, no, time, step, &index);
+    return &job->spec.steps[*step];
+}
+
+static void run_add(struct dispatch *d, struct job *job, int64_t no)
+{
+    struct row *row = &job->rows[no];
+    struct tenure *t = tenure_at(d, row->life);
+    int64_t nowMs = world_ms(d->w), time, step;
+    if (!t->n) {
+        t->cpuMilli = t->memoryMb = t->gpus = 0;
+        if (t->grantMs < nowMs)
+            t->grantMs = nowMs;
+    }
+    const struct step_spec *spec = step_of(job, no, &time, &step);
+    t->cpuMilli += spec->cpuMilli;
+    t->memoryMb += spec->memoryMb;
+    t->gpus += spec->gpus;
+    struct run *run = list_more(t->runs, t->n);
+    *run = (struct run){.job = job, .no = no, .task = job_task(job, no), .attempt = row->attempt, .placedMs = nowMs,
+                        .percentMs = nowMs, .percent = -1, .stopping = job_over(job)};
+    struct station *s = station_of_life(d, row->life);
+    if (s)
+        s->dirty = 1;
+    d->placedCount++;
+}
+
+/* The row is no longer PLACED: whichever tenure has the run gives it up. */
+static void run_drop(struct dispatch *d, struct job *job, int64_t no)
+{
+    for (int64_t k = 0; k < d->nTenures; k++) {
+        struct tenure *t = &d->tenures[k];
+        for (int64_t i = 0; i < t->n; i++) {
+            if (t->runs[i].job != job || t->runs[i].no != no)
+                continue;
+            int64_t time, step;
+            const struct step_spec *spec = step_of(job, no, &time, &step);
+            t->cpuMilli -= spec->cpuMilli;
+            t->memoryMb -= spec->memoryMb;
+            t->gpus -= spec->gpus;
+            t->runs[i] = t->runs[--t->n];
+            return;
+        }
+    }
+}
+
+void run_stop(struct dispatch *d, struct run *run)
+{
+    if (run->stopping || run->ending)
+        return;
+    run->stopping = 1;
+    run->stopSentMs = 0;
+    struct station *s = station_of_life(d, run->job->rows[run->no].life);
+    if (s)
+        s->dirty = 1;
+}
+
+/* A gang that lost a member is not waited for: all others are stopped at once. */
+void run_gang_stop(struct dispatch *d, struct job *job, int64_t no)
+{
+    int64_t time, step;
+    const struct step_spec *spec = step_of(job, no, &time, &step);
+    if (!spec->gang)
+        return;
+    int64_t first = time * job->tasks + job->first[step];
+    for (int64_t i = first; i < first + spec->taskCount; i++) {
+        struct run *run = run_of_row(d, job, i);
+        if (run)
+            run_stop(d, run);
+    }
+}
+
+void run_end(struct dispatch *d, struct run *run, int64_t how, const char *saved)
+{
+    if (run->ending)
+        return;
+    run->ending = 1;
+    struct record_op *op = NULL;
+    if (d->open && d->open->ops.n && d->open->ops.ops[d->open->ops.n - 1].kind == OP_END)
+        op = &d->open->ops.ops[d->open->ops.n - 1];
+    else
+        op = dispatch_op(d, OP_END);
+    *list_more(op->ended, op->nEnded) = (struct run_ended){
+        .job = run->job->spec.id, .task = run->task, .attempt = run->attempt, .how = how,
+        .saved = must_dup(saved && *saved ? saved : NULL)};
+    *list_more(d->open->ends, d->open->nEnds) =
+        (struct run_ref){.job = run->job->spec.id, .task = run->task, .attempt = run->attempt};
+    d->endedCount++;
+}
+
+void life_lapsed(struct dispatch *d, int64_t life)
+{
+    struct tenure *t = &d->tenures[life];
+    for (int64_t i = 0; i < t->n; i++)
+        if (!t->runs[i].ending) {
+            run_end(d, &t->runs[i], END_LAPSED, NULL);
+            d->lapsedCount++;
+        }
+}
+
+/* --- what the record says has changed -------------------------------------------- */
+
+static void on_changed(void *arg, struct job *job, int64_t no)
+{
+    struct dispatch *d = arg;
+    d->planDue = 1;
+    if (no < 0) {
+        if (!job_over(job) || !job->rows)
+            return;
+        for (int64_t i = 0; i < job->times * job->tasks; i++) {
+            struct run *run = run_of_row(d, job, i);
+            if (run)
+                run_stop(d, run);
+        }
+        return;
+    }
+    run_drop(d, job, no);
+    if (job->rows[no].state == ROW_PLACED)
+        run_add(d, job, no);
+    else if (job->rows[no].state == ROW_WAITING)
+        run_gang_stop(d, job, no);
+}
+
+/* --- life ------------------------------------------------------------------------- */
+
+struct dispatch *dispatch_new(struct world *w, struct record *record, const struct dispatch_params *params,
+                              const struct dispatch_calls *calls)
+{
+    struct dispatch *d = must_alloc(sizeof *d);
+    *d = (struct dispatch){.w = w, .record = record, .params = *params, .calls = *calls, .typicalPct = 100};
+    return d;
+}
+
+void dispatch_params_set(struct dispatch *d, const struct dispatch_params *params) { d->params = *params; }
+
+void dispatch_free(struct dispatch *d)
+{
+    dispatch_follow(d);
+    slab_end(&d->batches);
+    slab_end(&d->readers);
+    free(d->seats);
+    plan_free(&d->plan);
+    free(d);
+}
+
+int dispatch_leads(const struct dispatch *d) { return (int)d->leading; }
+
+void dispatch_lead(struct dispatch *d, int64_t epoch)
+{
+    d->epoch = epoch;
+    d->leading = 1;
+    d->leadSinceMs = world_ms(d->w);
+    d->record->changed = on_changed;
+    d->record->arg = d;
+    for (struct job *job = d->record->oldest; job; job = job->next)
+        for (int64_t i = 0; job->rows && i < job->times * job->tasks; i++)
+            if (job->rows[i].state == ROW_PLACED)
+                run_add(d, job, i);
+    for (int64_t k = 0; k < d->nTenures; k++)
+        d->tenures[k].grantMs = d->leadSinceMs + TAKEOVER_MS;
+    d->planDue = 1;
+    orders_announce(d);
+}
+
+static void answer_waiters(struct dispatch *d, const struct batch *batch, int problem)
+{
+    for (int64_t i = 0; i < batch->nWaiters; i++)
+        dispatch_answer(d, batch->waiters[i].ticket, batch->waiters[i].kind, problem, NULL);
+}
+
+void dispatch_follow(struct dispatch *d)
+{
+    Word_t freed;
+    if (!d->leading)
+        return;
+    d->leading = 0;
+    d->record->changed = NULL;
+    if (d->open)
+        answer_waiters(d, d->open, P_NOT_LEADER);
+    batch_free(d->open);
+    d->open = NULL;
+    for (int64_t i = 0; i < d->batches.cap; i++) {
+        int64_t tag = slab_number(&d->batches, i);
+        struct batch **batch = slab_at(&d->batches, tag);
+        if (!batch)
+            continue;
+        answer_waiters(d, *batch, P_NOT_LEADER);
+        batch_free(*batch);
+        slab_free(&d->batches, tag);
+    }
+    for (int64_t i = 0; i < d->readers.cap; i++) {
+        int64_t tag = slab_number(&d->readers, i);
+        struct reader *reader = slab_at(&d->readers, tag);
+        if (!reader)
+            continue;
+        dispatch_answer(d, reader->ticket, reader->ask.kind, P_NOT_LEADER, NULL);
+        shape_free(&doorAskShape, &reader->ask);
+        slab_free(&d->readers, tag);
+    }
+    for (int64_t k = 0; k < d->nTenures; k++)
+        free(d->tenures[k].runs);
+    free(d->tenures);
+    d->tenures = NULL, d->nTenures = 0;
+    for (int64_t i = 0; i < d->nStations; i++)
+        station_free(d->stations[i]);
+    free(d->stations);
+    d->stations = NULL, d->nStations = 0;
+    J1FA(freed, d->busy);
+    (void)freed;
+}
+
+void dispatch_tick(struct dispatch *d)
+{
+    if (!d->leading)
+        return;
+    d->tickMs = world_ms(d->w);
+    watch_tick(d);
+}
+
+void dispatch_flush(struct dispatch *d)
+{
+    if (!d->leading)
+        return;
+    int64_t nowMs = world_ms(d->w);
+    if (d->planDue || nowMs >= d->planAtMs)
+        place_round(d);
+    for (int64_t i = 0; i < d->nStations; i++)
+        if (d->stations[i]->dirty)
+            orders_send(d, d->stations[i], 0);
+    if (!d->open || !d->open->ops.n)
+        return;
+    struct bytes packed = {0};
+    struct batch *batch = d->open;
+    shape_pack(&recordBatchShape, &batch->ops, &packed);
+    shape_free(&recordBatchShape, &batch->ops);
+    memset(&batch->ops, 0, sizeof batch->ops);
+    int64_t tag = slab_take(&d->batches, sizeof batch);
+    *(struct batch **)slab_at(&d->batches, tag) = batch;
+    d->open = NULL;
+    d->calls.propose(d->calls.arg, &packed, tag);
+    bytes_free(&packed);
+}
+
+void dispatch_committed(struct dispatch *d, int64_t tag, int problem, const struct bytes *result)
+{
+    struct batch **cell = slab_at(&d->batches, tag);
+    struct record_result results = {0};
+    if (!cell)
+        return;
+    struct batch *batch = *cell;
+    slab_free(&d->batches, tag);
+    if (!problem && (!result || shape_unpack(&recordResultShape, &results, result->at, result->len)))
+        problem = P_GAVE_UP;
+    for (int64_t i = 0; i < batch->nWaiters; i++) {
+        const struct waiter *waiter = &batch->waiters[i];
+        int rc = problem ? P_NOT_LEADER : waiter->op < results.n ? (int)results.problems[waiter->op] : P_GAVE_UP;
+        dispatch_answer(d, waiter->ticket, waiter->kind, rc, NULL);
+    }
+    for (int64_t i = 0; i < batch->nPromises; i++) {
+        const struct promise *p = &batch->promises[i];
+        struct station *s = station_of(d, p->agent);
+        int rc;
+        J1U(rc, d->busy, row_key(p->job, p->no));
+        (void)rc;
+        if (!s->executor.life || strcmp(s->executor.life, p->life))
+            continue;
+        s->cpuReserved -= p->cpuMilli;
+        s->memoryReserved -= p->memoryMb;
+        s->gpusReserved -= p->gpus;
+    }
+    for (int64_t i = 0; i < batch->nEnds; i++)
+        for (int64_t k = 0; k < d->nTenures; k++) {
+            struct run *run = run_find(d, k, &batch->ends[i]);
+            if (run)
+                run->ending = 0;
+        }
+    d->planDue = 1;
+    shape_free(&recordResultShape, &results);
+    batch_free(batch);
+}
--- /dev/null
+++ b/src/dispatch/leader_place.c
@@ -0,0 +1,92 @@
+/* A round of placing: seats made of stations, a plan, and ops for it. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch/leader_state.h"
+
+static void make_seats(struct dispatch *d)
+{
+    int64_t nowMs = world_ms(d->w);
+    d->nSeats = 0;
+    d->seats = must_grow(d->seats, sizeof *d->seats * (size_t)(d->nStations + 1));
+    for (int64_t i = 0; i < d->nStations; i++) {
+        struct station *s = d->stations[i];
+        if (!s->present)
+            continue;
+        int64_t life = life_find(d, s->executor.life);
+        const struct executor_state *e = &s->executor;
+        struct seat *seat = &d->seats[d->nSeats++];
+        *seat = (struct seat){.life = e->life, .service = e->service, .zone = e->zone, .rack = e->rack,
+                              .labels = e->labels, .nLabels = e->nLabels, .agent = s->agent, .lifeNo = life,
+                              .cpuMilli = e->cpuMilli, .memoryMb = e->memoryMb, .gpus = e->gpus,
+                              .cpuFree = e->cpuMilli - s->cpuReserved, .memoryFree = e->memoryMb - s->memoryReserved,
+                              .gpusFree = e->gpus - s->gpusReserved, .open = station_open(d, s),
+                              .departsMs = e->departureMs > 0 ? nowMs + e->departureMs : INT64_MAX,
+                              .slowPct = s->slowPct, .failures = s->failures, .guards = 1};
+        if (life < 0 || life >= d->nTenures)
+            continue;
+        seat->cpuFree -= d->tenures[life].cpuMilli;
+        seat->memoryFree -= d->tenures[life].memoryMb;
+        seat->gpusFree -= d->tenures[life].gpus;
+    }
+}
+
+static int is_busy(void *arg, const struct job *job, int64_t no)
+{
+    struct dispatch *d = arg;
+    int rc;
+    J1T(rc, d->busy, row_key(job, no));
+    return rc;
+}
+
+/* All placements of one seat go in one op; a gang's ops stand in one batch. */
+static struct record_op *op_for(struct dispatch *d, const struct seat *seat, int64_t fromOp)
+{
+    for (int64_t i = fromOp; d->open && i < d->open->ops.n; i++) {
+        struct record_op *op = &d->open->ops.ops[i];
+        if (op->kind == OP_PLACE && !strcmp(op->life, seat->life))
+            return op;
+    }
+    struct record_op *op = dispatch_op(d, OP_PLACE);
+    op->life = must_dup(seat->life);
+    op->agent = seat->agent;
+    return op;
+}
+
+static void promise(struct dispatch *d, const struct placement *p, const struct seat *seat, int64_t fromOp)
+{
+    const struct step_spec *spec = &p->job->spec.steps[p->step];
+    struct record_op *op = op_for(d, seat, fromOp);
+    *list_more(op->runs, op->nRuns) =
+        (struct run_ref){.job = p->job->spec.id, .task = job_task(p->job, p->no), .attempt = p->attempt};
+    struct promise *promise = list_more(d->open->promises, d->open->nPromises);
+    *promise = (struct promise){.job = p->job, .no = p->no, .agent = seat->agent, .cpuMilli = spec->cpuMilli,
+                                .memoryMb = spec->memoryMb, .gpus = spec->gpus};
+    snprintf(promise->life, sizeof promise->life, "%s", seat->life);
+    struct station *s = station_of(d, seat->agent);
+    s->cpuReserved += spec->cpuMilli;
+    s->memoryReserved += spec->memoryMb;
+    s->gpusReserved += spec->gpus;
+    int rc;
+    J1S(rc, d->busy, row_key(p->job, p->no));
+    (void)rc;
+}
+
+void place_round(struct dispatch *d)
+{
+    int64_t nowMs = world_ms(d->w), wallMs = d->w->calls->wall_ms(d->w);
+    struct plan *plan = &d->plan;
+    d->planDue = 0;
+    make_seats(d);
+    struct plan_input input = {.record = d->record, .seats = d->seats, .nSeats = d->nSeats, .nowMs = nowMs,
+                               .wallMs = wallMs, .earlyMs = d->params.earlyMs, .farPct = d->params.farPct,
+                               .most = PLACES_MOST, .busy = is_busy, .arg = d};
+    plan_make(&input, plan);
+    int64_t fromOp = d->open ? d->open->ops.n : 0;
+    for (int64_t i = 0; i < plan->n; i++)
+        promise(d, &plan->places[i], &d->seats[plan->places[i].seat], fromOp);
+    d->planAtMs = nowMs + 250;
+    if (plan->nextDueMs != INT64_MAX && plan->nextDueMs - wallMs < 250)
+        d->planAtMs = nowMs + (plan->nextDueMs > wallMs ? plan->nextDueMs - wallMs : 10);
+}
--- /dev/null
+++ b/src/dispatch/leader_stations.c
@@ -0,0 +1,224 @@
+/* Stations: agents and their executors as the newest reports tell of them. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/problem.h"
+#include "dispatch/leader_state.h"
+
+enum { BLAME_DECAY_MS = 3000, SHUN_MS = 4000, BLAME_SHUN = 6, SLOW_MOST = 1500 };
+
+struct station *station_of(struct dispatch *d, int64_t agent)
+{
+    for (int64_t i = 0; i < d->nStations; i++)
+        if (d->stations[i]->agent == agent)
+            return d->stations[i];
+    struct station *s = must_alloc(sizeof *s);
+    *s = (struct station){.agent = agent, .slowPct = 100};
+    *list_more(d->stations, d->nStations) = s;
+    return s;
+}
+
+struct station *station_of_life(struct dispatch *d, int64_t life)
+{
+    const struct life *l = &d->record->lives[life];
+    for (int64_t i = 0; i < d->nStations; i++) {
+        struct station *s = d->stations[i];
+        if (s->agent == l->agent && s->present && s->executor.life && !strcmp(s->executor.life, l->name))
+            return s;
+    }
+    return NULL;
+}
+
+static void lists_free(struct station *s)
+{
+    for (int64_t i = 0; i < s->nLostLives; i++)
+        free(s->lostLives[i]);
+    free(s->lostLives);
+    free(s->zombies);
+    free(s->absent);
+    s->lostLives = NULL, s->nLostLives = 0;
+    s->zombies = s->absent = NULL;
+    s->nZombies = s->nAbsent = 0;
+}
+
+void station_free(struct station *s)
+{
+    shape_free(&executorStateShape, &s->executor);
+    lists_free(s);
+    free(s);
+}
+
+int station_open(const struct dispatch *d, const struct station *s)
+{
+    int64_t nowMs = world_ms(d->w);
+    return s->present && s->ready && s->epoch == d->epoch && nowMs - s->heardMs < FRESH_MS && !s->executor.draining &&
+           s->executor.silentMs < SILENT_MS && nowMs >= s->shunUntilMs;
+}
+
+/* An executor whose work fails, stalls or is turned away again and again is left alone for a while. */
+void station_blame(struct dispatch *d, struct station *s, int64_t weight)
+{
+    int64_t nowMs = world_ms(d->w);
+    int64_t steps = (nowMs - s->failuresMs) / BLAME_DECAY_MS;
+    for (; steps > 0 && s->failures; steps--)
+        s->failures /= 2;
+    s->failuresMs = nowMs;
+    s->failures += weight;
+    if (s->failures < BLAME_SHUN)
+        return;
+    s->shunUntilMs = nowMs + SHUN_MS;
+    s->failures = BLAME_SHUN / 2;
+}
+
+/* How long work takes there against its estimate, and against how long it takes elsewhere. */
+static void learn_pace(struct dispatch *d, struct station *s, const struct run *run)
+{
+    int64_t tookMs = world_ms(d->w) - (run->startedMs ? run->startedMs : run->placedMs);
+    int64_t time, step, index;
+    job_place(run->job, run->no, &time, &step, &index);
+    int64_t guessMs = run->job->spec.steps[step].estimateMs;
+    if (guessMs < 20 || tookMs < 0)
+        return;
+    int64_t pct = tookMs * 100 / guessMs;
+    if (pct > 2000)
+        pct = 2000;
+    int64_t against = pct * 100 / (d->typicalPct > 10 ? d->typicalPct : 10);
+    d->typicalPct += (pct - d->typicalPct) / 32;
+    if (against > SLOW_MOST)
+        against = SLOW_MOST;
+    s->slowPct += (against - s->slowPct) / 6;
+    if (s->slowPct < 30)
+        s->slowPct = 30;
+}
+
+static void take_ends(struct dispatch *d, struct station *s, int64_t life, const struct agent_report *r)
+{
+    int64_t waiting = INT64_MAX, newest = 0;
+    for (int64_t i = 0; i < r->nEnded; i++) {
+        const struct run_ended *e = &r->ended[i];
+        struct run_ref ref = {.job = e->job, .task = e->task, .attempt = e->attempt};
+        struct run *run = run_find(d, life, &ref);
+        if (e->seq > newest)
+            newest = e->seq;
+        if (!run) {
+            if (!e->seq)
+                *list_more(s->absent, s->nAbsent) = ref;
+            continue;
+        }
+        if (e->seq && e->seq < waiting)
+            waiting = e->seq;
+        if (run->ending)
+            continue;
+        if (e->how == END_DONE)
+            learn_pace(d, s, run);
+        else if (e->how == END_FAILED || e->how == END_ALONE)
+            station_blame(d, s, 1);
+        run_end(d, run, e->how, e->saved);
+    }
+    int64_t seen = waiting == INT64_MAX ? newest : waiting - 1;
+    if (seen > s->seen)
+        s->seen = seen;
+}
+
+static void take_active(struct dispatch *d, struct station *s, int64_t life, const struct agent_report *r)
+{
+    int64_t nowMs = world_ms(d->w);
+    for (int64_t i = 0; i < r->nActive; i++) {
+        const struct run_active *a = &r->active[i];
+        struct run_ref ref = {.job = a->job, .task = a->task, .attempt = a->attempt};
+        struct run *run = run_find(d, life, &ref);
+        if (!run) {
+            *list_more(s->zombies, s->nZombies) = ref;
+            continue;
+        }
+        if (!run->startedMs)
+            run->startedMs = run->percentMs = nowMs;
+        run->seenMs = nowMs;
+        run->known = 1;
+        if (a->percent != run->percent) {
+            run->percent = a->percent;
+            run->percentMs = nowMs;
+        }
+    }
+    for (int64_t i = 0; i < r->nPending; i++) {
+        struct run *run = run_find(d, life, &r->pending[i]);
+        if (run)
+            run->known = 1;
+    }
+    for (int64_t i = 0; i < r->nRefused; i++) {
+        const struct run_refused *f = &r->refused[i];
+        struct run_ref ref = {.job = f->job, .task = f->task, .attempt = f->attempt};
+        struct run *run = run_find(d, life, &ref);
+        if (!run) {
+            *list_more(s->absent, s->nAbsent) = ref;
+            continue;
+        }
+        run->known = 1;
+        if (!run->refused) {
+            run->refused = 1;
+            station_blame(d, s, f->reason == REFUSED_SICK ? 4 : 1);
+        }
+        /* an unanswered call of the same order may still be carried out: only a stop proves */
+        run_stop(d, run);
+        run_gang_stop(d, run->job, run->no);
+    }
+}
+
+static void take_lost_lives(struct dispatch *d, struct station *s, const struct agent_report *r)
+{
+    for (int64_t i = 0; i < r->nLostLives; i++) {
+        int64_t life = life_find(d, r->lostLives[i]);
+        if (life >= 0 && d->record->lives[life].agent == s->agent)
+            life_lapsed(d, life);
+        else
+            *list_more(s->lostLives, s->nLostLives) = must_dup(r->lostLives[i]);
+    }
+    /* it answers nothing, and all that it was ever told to hold has run out */
+    int64_t mute = r->present && r->executor.silentMs && !r->executor.overMs ? life_find(d, r->executor.life) : -1;
+    if (mute >= 0 && d->record->lives[mute].agent == s->agent)
+        life_lapsed(d, mute);
+    /* another life answers at the same agent under our fence: the ones before are over */
+    for (int64_t k = 0; r->present && r->ready && r->epoch == d->epoch && k < d->nTenures; k++)
+        if (k < d->record->nLives && d->tenures[k].n && d->record->lives[k].agent == s->agent &&
+            strcmp(d->record->lives[k].name, r->executor.life))
+            life_lapsed(d, k);
+}
+
+void dispatch_report(struct dispatch *d, int64_t agent, const struct agent_report *r)
+{
+    if (!d->leading || (r->present && !r->executor.life))
+        return;
+    struct station *s = station_of(d, agent);
+    int64_t nowMs = world_ms(d->w);
+    int fresh = !s->present || !r->present || !s->executor.life || strcmp(s->executor.life, r->executor.life);
+    if (fresh) {
+        s->cpuReserved = s->memoryReserved = s->gpusReserved = 0;
+        s->seen = 0;
+        s->slowPct = 100;
+        s->failures = s->shunUntilMs = 0;
+        d->planDue = 1;
+    }
+    if (s->ready != r->ready || s->executor.draining != r->executor.draining)
+        d->planDue = 1;
+    shape_free(&executorStateShape, &s->executor);
+    lists_free(s);
+    memset(&s->executor, 0, sizeof s->executor);
+    if (r->present)
+        shape_copy(&executorStateShape, &s->executor, &r->executor);
+    s->boot = r->boot;
+    s->heardMs = nowMs;
+    s->epoch = r->epoch;
+    s->present = r->present;
+    s->ready = r->ready && r->epoch == d->epoch;
+    take_lost_lives(d, s, r);
+    int64_t life = r->present ? life_find(d, r->executor.life) : -1;
+    if (life >= 0 && d->record->lives[life].agent != agent)
+        life = -1;
+    for (int64_t i = 0; life >= 0 && life < d->nTenures && i < d->tenures[life].n; i++)
+        d->tenures[life].runs[i].known = 0;
+    if (s->ready) {
+        take_ends(d, s, life, r);
+        take_active(d, s, life, r);
+    }
+    orders_send(d, s, r->stampMs);
+}
--- /dev/null
+++ b/src/dispatch/plan_round.h
@@ -0,0 +1,78 @@
+/* One round of placing, seen from inside plan*.c. */
+#ifndef SAGEHITCH_DISPATCH_PLAN_ROUND_H
+#define SAGEHITCH_DISPATCH_PLAN_ROUND_H
+#include "dispatch/plan.h"
+
+/* A step of a time whose turn has come and that has WAITING rows. */
+struct plan_entry {
+    struct job *job;
+    int64_t time, step;
+    int64_t sinceMs;             /* the older goes first */
+    int32_t urgency;             /* the queue's priority, less what it gained by waiting; 0 goes first */
+    int32_t hopeless;            /* so late that nothing is earned any more */
+    int32_t service;             /* index into services, -1: it has no seats */
+};
+
+/* What is known of a service's open seats. Invariant: maxCpu, maxMemory and maxGpus are
+ * upper bounds of one seat's free room; an ask as large as one that failed finds none either. */
+enum { FAILED_MAX = 8 };
+struct plan_service {
+    const char *name;
+    int64_t maxCpu, maxMemory, maxGpus, totalCpu, freeCpu;
+    const struct step_spec *failed[FAILED_MAX];
+    int64_t nFailed;
+    int64_t reserved;            /* a blocked entry holds room this round */
+};
+
+/* What is true of one seat in a round. cost and used are of the step judged last. */
+struct plan_seat {
+    int64_t heldCpu, heldMemory, heldGpus;     /* kept for a more urgent blocked entry */
+    int64_t stopCpu, stopMemory, stopGpus;     /* plan_victims: comes free, or could */
+    int64_t cost;                /* expected time in % of the estimate, doubts counted in; -1: unsuited */
+    int64_t used;                /* rows of the step there, counted only under perExecutor */
+    int32_t service, mark;
+};
+
+struct plan_round {
+    const struct plan_input *in;
+    struct plan_service *services;
+    struct plan_seat *seats;
+    struct plan_entry *entries;
+    int32_t *queueService;       /* by queue: its service, -1: no seats */
+    int32_t *lifeSeat;           /* by life: its seat, -1: none */
+    int64_t *rows;               /* of the entry gathered last: WAITING rows not busy */
+    int64_t nServices, nEntries, nRows, nBusy;
+    int64_t mindHeld;            /* the entry at hand must leave held room alone */
+    int64_t onlyRoom;            /* the judged step was denied seats for want of room alone */
+    int64_t capServices, capSeats, capEntries, capQueues, capLives, capRows, capPlaces;
+};
+
+/* plan.c */
+void plan_round_begin(struct plan_round *round, const struct plan_input *in, int64_t *nextDueMs);
+void plan_round_free(struct plan_round *round);
+/* Finds the rows to place, at most most of them; 0: none, or not now. */
+int plan_gather(struct plan_round *round, const struct plan_entry *entry, int64_t most);
+/* How long ago its turn came. */
+int64_t plan_waited_ms(const struct plan_round *round, const struct plan_entry *entry);
+static inline const struct step_spec *entry_step(const struct plan_entry *entry)
+{
+    return &entry->job->spec.steps[entry->step];
+}
+
+/* plan_seat.c */
+/* Fills cost and used of all seats for the step. */
+void plan_judge(struct plan_round *round, const struct plan_entry *entry);
+int plan_surely_full(const struct plan_round *round, const struct plan_entry *entry);
+/* The best seat with room for one task, of this rack only unless it is NULL; -1: none. */
+int64_t plan_choose(const struct plan_round *round, const struct step_spec *step, const char *rack);
+/* How many tasks of the step the judged seats hold now, or when empty. */
+int64_t plan_holds(const struct plan_round *round, const struct step_spec *step, const char *rack, int empty);
+int64_t plan_seat_holds(const struct plan_round *round, int64_t seat, const struct step_spec *step, int empty);
+/* The rack a sameRack gang should go to: that holds it now (empty: when empty), NULL: none does. */
+const char *plan_rack(const struct plan_round *round, const struct step_spec *step, int empty);
+void plan_take(struct plan_round *round, int64_t seat, const struct step_spec *step);
+/* Holds room for a blocked entry against all less urgent ones. */
+void plan_reserve(struct plan_round *round, const struct plan_entry *entry);
+void plan_hold(struct plan_round *round, int64_t seat, const struct step_spec *step, int64_t n);
+int plan_same(const char *a, const char *b);
+#endif
--- /dev/null
+++ b/src/dispatch/plan_victims.c
@@ -0,0 +1,275 @@
+/* What could ever fit, and which less urgent rows to stop so that more urgent ones fit. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch/plan_round.h"
+
+enum {
+    SAVED_SHARE = 4,             /* a step that keeps its progress loses a quarter, so to say */
+    LASTING_LOSS = 1000,         /* lasting rows count so many times */
+    GPU_CORES = 8,
+    TRIED_MAX = 8                /* blocked entries looked at in one call */
+};
+
+/* A PLACED row that may be stopped. chosen 1: for the entry at hand, 2: for good. gang: the first row of its
+ * gang, -1: none. Invariant: mark of a seat is the index of its first candidate, -1: it has none. */
+struct candidate {
+    struct job *job;
+    const struct step_spec *step;
+    int64_t no, seat, loss, gang, chosen;
+};
+struct stops {
+    struct plan_round *round;
+    struct candidate *items;
+    int64_t n, cap;
+    int64_t left;                /* victims that may still be named */
+    int64_t leastUrgent;         /* highest priority number among them */
+};
+
+static int64_t smaller(int64_t a, int64_t b) { return a < b ? a : b; }
+
+static int64_t empty_holds(const struct seat *seat, const struct step_spec *step)
+{
+    int64_t n = JOB_TASKS_MAX, labelled = !step->label;
+    for (int64_t i = 0; i < seat->nLabels; i++)
+        labelled |= plan_same(seat->labels[i], step->label);
+    if (step->cpuMilli)
+        n = smaller(n, seat->cpuMilli / step->cpuMilli);
+    if (step->memoryMb)
+        n = smaller(n, seat->memoryMb / step->memoryMb);
+    if (step->gpus)
+        n = smaller(n, seat->gpus / step->gpus);
+    if (step->perExecutor)
+        n = smaller(n, step->perExecutor);
+    return labelled ? n : 0;
+}
+
+int plan_could_fit(const struct plan_input *input, const struct job_spec *spec, const char *service)
+{
+    int64_t known = 0;
+    for (int64_t i = 0; i < input->nSeats; i++)
+        known |= plan_same(input->seats[i].service, service);
+    if (!known)
+        return 1;
+    for (int64_t s = 0; s < spec->nSteps; s++) {
+        int64_t n = 0;
+        for (int64_t i = 0; i < input->nSeats && n < spec->steps[s].taskCount; i++)
+            if (plan_same(input->seats[i].service, service))
+                n += empty_holds(&input->seats[i], &spec->steps[s]);
+        if (n < (spec->steps[s].gang ? spec->steps[s].taskCount : 1))
+            return 0;
+    }
+    return 1;
+}
+
+/* What stopping the row throws away, in core-milliseconds; of a gang all members lose it. */
+static int64_t loss_of(const struct plan_round *round, const struct step_spec *step, const struct row *row)
+{
+    int64_t ranMs = round->in->wallMs - row->sinceMs;
+    int64_t loss = (ranMs > 0 ? ranMs : 0) * (step->cpuMilli / 10 + step->gpus * GPU_CORES * 100 + 1) / 100;
+    if (step->checkpoints)
+        loss /= SAVED_SHARE;
+    if (step->gang)
+        loss *= step->taskCount;
+    return (loss + 1) * (step->lasting ? LASTING_LOSS : 1);
+}
+
+static void room_add(struct plan_seat *seat, const struct step_spec *step, int64_t sign)
+{
+    seat->stopCpu += sign * step->cpuMilli;
+    seat->stopMemory += sign * step->memoryMb;
+    seat->stopGpus += sign * step->gpus;
+}
+
+/* All PLACED rows: those being stopped count as room to come, the others are candidates. */
+static void gather_placed(struct stops *stops)
+{
+    struct plan_round *round = stops->round;
+    const struct record *record = round->in->record;
+    for (struct job *job = record->oldest; job; job = job->next) {
+        for (int64_t no = 0; job->rows && job->nPlaced && no < job->times * job->tasks; no++) {
+            const struct row *row = &job->rows[no];
+            int64_t time, step, index;
+            if (row->state != ROW_PLACED || row->life < 0 || row->life >= record->nLives ||
+                round->lifeSeat[row->life] < 0)
+                continue;
+            job_place(job, no, &time, &step, &index);
+            struct candidate c = {.job = job, .step = &job->spec.steps[step], .no = no,
+                                  .seat = round->lifeSeat[row->life]};
+            if (job_over(job) || (round->in->busy && round->in->busy(round->in->arg, job, no))) {
+                room_add(&round->seats[c.seat], c.step, 1);
+                continue;
+            }
+            c.loss = loss_of(round, c.step, row);
+            if (record->queues[job->queue].config.priority > stops->leastUrgent)
+                stops->leastUrgent = record->queues[job->queue].config.priority;
+            c.gang = c.step->gang ? no - index : -1;
+            if (stops->n == stops->cap) {
+                stops->cap = stops->cap * 2 + 64;
+                stops->items = must_grow(stops->items, sizeof *stops->items * (size_t)stops->cap);
+            }
+            stops->items[stops->n++] = c;
+        }
+    }
+}
+
+/* Those of one seat side by side, the cheapest first. */
+static int by_seat_and_loss(const void *a, const void *b)
+{
+    const struct candidate *x = a, *y = b;
+    if (x->seat != y->seat)
+        return x->seat < y->seat ? -1 : 1;
+    if (x->loss != y->loss)
+        return x->loss < y->loss ? -1 : 1;
+    if (x->job->index != y->job->index)
+        return x->job->index < y->job->index ? -1 : 1;
+    return x->no < y->no ? -1 : x->no > y->no;
+}
+
+static int may_stop(const struct stops *stops, const struct candidate *c, int64_t priority, int gangs)
+{
+    return !c->chosen && (gangs || c->gang < 0) &&
+           stops->round->in->record->queues[c->job->queue].config.priority > priority;
+}
+
+/* Chooses (sign 1) a row, with its whole gang, or gives it back (-1). The rows it makes. */
+static int64_t choose(struct stops *stops, struct candidate *c, int64_t sign)
+{
+    int64_t n = 0, from = c->gang < 0 ? c - stops->items : 0, to = c->gang < 0 ? from + 1 : stops->n;
+    for (int64_t i = from; i < to; i++) {
+        struct candidate *other = &stops->items[i];
+        if (other != c && (other->job != c->job || other->gang != c->gang))
+            continue;
+        other->chosen = sign > 0;
+        room_add(&stops->round->seats[other->seat], other->step, sign);
+        n++;
+    }
+    return n;
+}
+
+/* Makes room on one seat for one more task than it holds: the cheapest rows first, then those
+ * found superfluous are given back. Leaves them chosen if keep. What is lost, -1: no way. */
+static int64_t clear_seat(struct stops *stops, int64_t seat, const struct plan_entry *entry, int gangs, int keep)
+{
+    const struct step_spec *step = entry_step(entry);
+    int64_t priority = stops->round->in->record->queues[entry->job->queue].config.priority;
+    int64_t want = plan_seat_holds(stops->round, seat, step, 0) + 1, loss = 0, n = 0, nTaken = 0, enough = 0;
+    struct candidate *taken[64];
+    for (int64_t i = stops->round->seats[seat].mark; i >= 0 && i < stops->n && !enough; i++) {
+        struct candidate *c = &stops->items[i];
+        if (c->seat != seat || nTaken == COUNT_OF(taken))
+            break;
+        if (!may_stop(stops, c, priority, gangs))
+            continue;
+        n += choose(stops, c, 1);
+        taken[nTaken++] = c;
+        enough = plan_seat_holds(stops->round, seat, step, 0) >= want;
+    }
+    for (int64_t i = nTaken - 1; i >= 0; i--) {
+        int64_t rows = choose(stops, taken[i], -1);
+        if (enough && plan_seat_holds(stops->round, seat, step, 0) >= want) {
+            n -= rows;
+            taken[i] = NULL;
+        } else {
+            choose(stops, taken[i], 1);
+            loss += taken[i]->loss;
+        }
+    }
+    enough = enough && n <= stops->left;
+    for (int64_t i = 0; i < nTaken; i++)
+        if (taken[i] && !(enough && keep))
+            choose(stops, taken[i], -1);
+    if (enough && keep)
+        stops->left -= n;
+    return enough ? loss : -1;
+}
+
+/* Names rows until the entry's groups have room; a gang that cannot have all names none. 1: it is provided for. */
+static int clear_for(struct stops *stops, const struct plan_entry *entry, const char *rack, int gangs)
+{
+    struct plan_round *round = stops->round;
+    const struct step_spec *step = entry_step(entry);
+    int64_t need = step->gang ? step->taskCount : round->nRows, left = stops->left, any = 0;
+    if (plan_holds(round, step, rack, 1) < (step->gang ? need : 1))
+        return 0;
+    while (plan_holds(round, step, rack, 0) < need) {
+        int64_t best = -1, bestLoss = 0;
+        for (int64_t i = 0; i < round->in->nSeats; i++) {
+            if (round->seats[i].cost < 0 || (rack && !plan_same(round->in->seats[i].rack, rack)) ||
+                plan_seat_holds(round, i, step, 1) <= plan_seat_holds(round, i, step, 0))
+                continue;
+            int64_t loss = clear_seat(stops, i, entry, gangs, 0);
+            if (loss >= 0 && (best < 0 || loss < bestLoss)) {
+                best = i;
+                bestLoss = loss;
+            }
+        }
+        if (best < 0)
+            break;
+        clear_seat(stops, best, entry, gangs, 1);
+        any = 1;
+    }
+    if (plan_holds(round, step, rack, 0) >= need)
+        return 1;
+    if (!step->gang)
+        return any;
+    for (int64_t i = 0; i < stops->n; i++)
+        if (stops->items[i].chosen == 1)
+            choose(stops, &stops->items[i], -1);
+    stops->left = left;
+    return 0;
+}
+
+/* What the entry will take is no room for the ones after it, and what was named stays so. */
+static void settle(struct stops *stops, const struct plan_entry *entry, const char *rack)
+{
+    struct plan_round *round = stops->round;
+    const struct step_spec *step = entry_step(entry);
+    int64_t need = step->gang ? step->taskCount : round->nRows;
+    for (int64_t i = 0; i < stops->n; i++)
+        if (stops->items[i].chosen)
+            stops->items[i].chosen = 2;
+    for (int64_t i = 0; i < round->in->nSeats && need > 0; i++) {
+        if (rack && !plan_same(round->in->seats[i].rack, rack))
+            continue;
+        int64_t n = smaller(plan_seat_holds(round, i, step, 0), need);
+        plan_hold(round, i, step, n);
+        need -= n;
+    }
+}
+
+int64_t plan_victims(const struct plan_input *input, struct victim *victims, int64_t most)
+{
+    struct plan_round round = {.in = input};
+    struct stops stops = {.round = &round, .left = most};
+    int64_t nextDueMs, n = 0, tried = 0;
+    plan_round_begin(&round, input, &nextDueMs);
+    for (int64_t i = 0; i < input->nSeats; i++)
+        round.seats[i].mark = -1;
+    gather_placed(&stops);
+    if (stops.n)
+        qsort(stops.items, (size_t)stops.n, sizeof *stops.items, by_seat_and_loss);
+    for (int64_t i = stops.n - 1; i >= 0; i--)
+        round.seats[stops.items[i].seat].mark = (int32_t)i;
+    for (int64_t i = 0; i < round.nEntries && stops.n && stops.left > 0 && tried < TRIED_MAX; i++) {
+        const struct plan_entry *entry = &round.entries[i];
+        const struct step_spec *step = entry_step(entry);
+        if (entry->service < 0 || entry->hopeless ||
+            input->record->queues[entry->job->queue].config.priority >= stops.leastUrgent)
+            continue;
+        if (!plan_gather(&round, entry, most))
+            continue;
+        plan_judge(&round, entry);
+        if (step->gang || plan_holds(&round, step, NULL, 0) < round.nRows)
+            tried++;
+        const char *rack = step->gang && step->sameRack ? plan_rack(&round, step, 1) : NULL;
+        if (clear_for(&stops, entry, rack, 0) || clear_for(&stops, entry, rack, 1))
+            settle(&stops, entry, rack);
+    }
+    for (int64_t i = 0; i < stops.n && n < most; i++)
+        if (stops.items[i].chosen)
+            victims[n++] = (struct victim){.job = stops.items[i].job, .no = stops.items[i].no};
+    free(stops.items);
+    plan_round_free(&round);
+    return n;
+}
--- /dev/null
+++ b/src/dispatch/record.c
@@ -0,0 +1,214 @@
+#include "dispatch/record.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/problem.h"
+#include "dispatch/record_inside.h"
+
+static const struct field opFields[] = {
+    INT(record_op, kind), INT(record_op, atMs), SUB(record_op, config, configShape), INT(record_op, base),
+    SUB(record_op, spec, jobAskedShape), STR(record_op, queue), INT(record_op, job), STR(record_op, life),
+    INT(record_op, agent), LIST(record_op, runs, nRuns, runRefShape), LIST(record_op, ended, nEnded, runEndedShape),
+    INTS(record_op, jobs, nJobs)};
+SHAPE(recordOpShape, record_op, opFields);
+
+static const struct field batchFields[] = {LIST(record_batch, ops, n, recordOpShape)};
+SHAPE(recordBatchShape, record_batch, batchFields);
+
+/* --- jobs --------------------------------------------------------------- */
+
+int job_over(const struct job *job) { return job->state >= JOB_DONE; }
+
+void job_place(const struct job *job, int64_t no, int64_t *time, int64_t *step, int64_t *index)
+{
+    int64_t rest = no % job->tasks, s = job->spec.nSteps - 1;
+    while (job->first[s] > rest)
+        s--;
+    *time = no / job->tasks;
+    *step = s;
+    *index = rest - job->first[s];
+}
+
+int job_step_begins(const struct job *job, int64_t time, int64_t step)
+{
+    const struct step_spec *spec = &job->spec.steps[step];
+    for (int64_t i = 0; i < spec->nDependsOn; i++)
+        if (job->left[time * job->spec.nSteps + spec->dependsOn[i]])
+            return 0;
+    return 1;
+}
+
+int64_t job_due_ms(const struct job *job, int64_t time)
+{
+    return job->spec.repeats > 0 ? job->spec.startMs + time * job->spec.intervalMs : 0;
+}
+
+int64_t job_row(const struct job *job, int64_t task)
+{
+    int64_t time = task_time(task), step = task_step(task), index = task_index(task);
+    if (!job->rows || task < 0 || time >= job->times || step >= job->spec.nSteps ||
+        index >= job->spec.steps[step].taskCount)
+        return -1;
+    return time * job->tasks + job->first[step] + index;
+}
+
+int64_t job_task(const struct job *job, int64_t no)
+{
+    int64_t time, step, index;
+    job_place(job, no, &time, &step, &index);
+    return task_of(time, step, index);
+}
+
+uint64_t job_hash(const struct job_spec *spec, const char *queue)
+{
+    struct bytes packed = {0};
+    shape_pack(&jobAskedShape, spec, &packed);
+    uint64_t hash = hash_mix(hash_of(packed.at, packed.len), hash_text(queue));
+    bytes_free(&packed);
+    return hash;
+}
+
+void job_open(struct job *job)
+{
+    int64_t steps = job->spec.nSteps, n;
+    job->tasks = job_spec_tasks(&job->spec);
+    job->times = job_spec_times(&job->spec);
+    n = job->times * steps;
+    job->first = must_alloc(sizeof(int64_t) * (size_t)(steps + 3 * n));
+    job->left = job->first + steps;
+    job->waiting = job->left + n;
+    job->counted = job->waiting + n;
+    for (int64_t s = 1; s < steps; s++)
+        job->first[s] = job->first[s - 1] + job->spec.steps[s - 1].taskCount;
+    for (int64_t i = 0; i < n; i++)
+        job->left[i] = job->waiting[i] = job->spec.steps[i % steps].taskCount;
+    job->rows = must_alloc(sizeof *job->rows * (size_t)(job->times * job->tasks));
+    for (int64_t no = 0; no < job->times * job->tasks; no++)
+        job->rows[no] = (struct row){.state = ROW_WAITING, .life = -1, .sinceMs = job->acceptedMs};
+}
+
+void job_close(struct job *job)
+{
+    for (int64_t no = 0; job->rows && no < job->times * job->tasks; no++)
+        free(job->rows[no].saved);
+    free(job->rows);
+    free(job->first);
+    job->rows = NULL;
+    job->first = job->left = job->waiting = job->counted = NULL;
+    shape_free(&jobAskedShape, &job->spec);
+}
+
+/* --- the record --------------------------------------------------------- */
+
+void record_start(struct record *record) { *record = (struct record){0}; }
+
+void record_clear(struct record *record)
+{
+    Word_t id = 0;
+    Word_t freed;
+    PPvoid_t at;
+    JLF(at, record->jobs, id);
+    while (at) {
+        job_close(*at);
+        free(*at);
+        JLN(at, record->jobs, id);
+    }
+    JLFA(freed, record->jobs);
+    (void)freed;
+    shape_free(&configShape, &record->config);
+    for (int64_t i = 0; i < record->nQueues; i++)
+        shape_free(&queueConfigShape, &record->queues[i].config);
+    free(record->queues);
+    for (int64_t i = 0; i < record->nLives; i++)
+        free(record->lives[i].name);
+    free(record->lives);
+    *record = (struct record){.changed = record->changed, .arg = record->arg};
+}
+
+void record_end(struct record *record)
+{
+    record_clear(record);
+    *record = (struct record){0};
+}
+
+struct job *record_job(const struct record *record, int64_t id)
+{
+    PPvoid_t at;
+    JLG(at, record->jobs, (Word_t)id);
+    return at ? *at : NULL;
+}
+
+int64_t record_queue(const struct record *record, const char *name)
+{
+    for (int64_t i = 0; name && i < record->nQueues; i++)
+        if (!strcmp(record->queues[i].config.name, name))
+            return i;
+    return -1;
+}
+
+void record_tell(struct record *record, struct job *job, int64_t no)
+{
+    if (record->changed)
+        record->changed(record->arg, job, no);
+}
+
+void record_add(struct record *record, struct job *job)
+{
+    PPvoid_t at;
+    JLI(at, record->jobs, (Word_t)job->spec.id);
+    if (at == PPJERR)
+        abort();
+    *at = job;
+    record->nJobs++;
+}
+
+void record_link(struct record *record, struct job *job)
+{
+    job->prev = record->newest;
+    if (record->newest)
+        record->newest->next = job;
+    else
+        record->oldest = job;
+    record->newest = job;
+    record->nLive++;
+    record->queues[job->queue].live++;
+}
+
+void record_unlink(struct record *record, struct job *job)
+{
+    if (job->prev)
+        job->prev->next = job->next;
+    else
+        record->oldest = job->next;
+    if (job->next)
+        job->next->prev = job->prev;
+    else
+        record->newest = job->prev;
+    job->next = job->prev = NULL;
+    record->nLive--;
+    record->queues[job->queue].live--;
+}
+
+void record_forget(struct record *record, struct job *job)
+{
+    int rc;
+    JLD(rc, record->jobs, (Word_t)job->spec.id);
+    (void)rc;
+    record->nJobs--;
+    record_tell(record, job, -1);
+    job_close(job);
+    free(job);
+}
+
+int record_apply_batch(struct record *record, const struct bytes *packed)
+{
+    struct record_batch batch = {0};
+    int rc = shape_unpack(&recordBatchShape, &batch, packed->at, packed->len);
+    if (rc)
+        return rc;
+    for (int64_t i = 0; i < batch.n; i++)
+        record_apply(record, &batch.ops[i]);
+    shape_free(&recordBatchShape, &batch);
+    return P_OK;
+}
--- /dev/null
+++ b/src/dispatch/record_ops.c
@@ -0,0 +1,364 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/problem.h"
+#include "dispatch/record_inside.h"
+
+/* --- configuration and jobs --------------------------------------------- */
+
+static int same_raw(const struct bytes *a, const struct bytes *b)
+{
+    return a->len == b->len && (!a->len || !memcmp(a->at, b->at, (size_t)a->len));
+}
+
+static int apply_config(struct record *record, const struct record_op *op)
+{
+    const struct config *config = &op->config;
+    int rc = config_check(config, NULL);
+    if (rc)
+        return rc;
+    if (config->version == record->config.version && same_raw(&config->raw, &record->config.raw))
+        return P_OK;                    /* sent again */
+    if (op->base != record->config.version || config->version <= record->config.version)
+        return P_STALE;
+    shape_free(&configShape, &record->config);
+    shape_copy(&configShape, &record->config, config);
+    for (int64_t i = 0; i < record->nQueues; i++)
+        record->queues[i].removed = 1;
+    for (int64_t i = 0; i < config->nQueues; i++) {
+        int64_t no = record_queue(record, config->queues[i].name);
+        struct queue *queue = no >= 0 ? &record->queues[no] : list_more(record->queues, record->nQueues);
+        shape_free(&queueConfigShape, &queue->config);
+        shape_copy(&queueConfigShape, &queue->config, &config->queues[i]);
+        queue->removed = 0;
+    }
+    return P_OK;
+}
+
+static int same_spec(const struct job *job, const struct record_op *op, uint64_t hash)
+{
+    if (job->specHash != hash)
+        return 0;
+    if (!job->rows)
+        return 1;                       /* nothing else is left of it */
+    struct bytes a = {0}, b = {0};
+    shape_pack(&jobAskedShape, &job->spec, &a);
+    shape_pack(&jobAskedShape, &op->spec, &b);
+    int same = same_raw(&a, &b);
+    bytes_free(&a);
+    bytes_free(&b);
+    return same;
+}
+
+static int apply_job(struct record *record, const struct record_op *op)
+{
+    int rc = job_spec_check(&op->spec, NULL);
+    if (rc)
+        return rc;
+    uint64_t hash = job_hash(&op->spec, op->queue);
+    struct job *job = record_job(record, op->spec.id);
+    int64_t queue = record_queue(record, op->queue);
+    if (job)
+        return job->queue == queue && same_spec(job, op, hash) ? P_OK : P_KEY_TAKEN;
+    if (queue < 0 || record->queues[queue].removed)
+        return P_NO_SUCH;
+    job = must_alloc(sizeof *job);
+    shape_copy(&jobAskedShape, &job->spec, &op->spec);
+    job->queue = queue;
+    job->state = JOB_PENDING;
+    job->acceptedMs = op->atMs;
+    job->specHash = hash;
+    job->index = record->nextIndex++;
+    job_open(job);
+    record_add(record, job);
+    record_link(record, job);
+    record_tell(record, job, -1);
+    return P_OK;
+}
+
+/* Lets go of the rows of a job that is over once none of them is placed. */
+static int let_go(struct record *record, struct job *job)
+{
+    if (!job_over(job) || job->nPlaced)
+        return 0;
+    record_unlink(record, job);
+    job_close(job);
+    return 1;
+}
+
+static void job_end(struct record *record, struct job *job, int64_t state, int64_t atMs)
+{
+    job->state = state;
+    job->endedMs = atMs;
+    let_go(record, job);
+    record_tell(record, job, -1);
+}
+
+static int apply_cancel(struct record *record, const struct record_op *op)
+{
+    struct job *job = record_job(record, op->job);
+    if (!job)
+        return P_GONE;
+    if (!job_over(job))
+        job_end(record, job, JOB_CANCELLED, op->atMs);
+    return P_OK;
+}
+
+static int apply_forget(struct record *record, const struct record_op *op)
+{
+    int rc = P_GONE;
+    for (int64_t i = 0; i < op->nJobs; i++) {
+        struct job *job = record_job(record, op->jobs[i]);
+        if (!job || !job_over(job) || job->rows)
+            continue;
+        record_forget(record, job);
+        rc = P_OK;
+    }
+    return rc;
+}
+
+/* --- rows --------------------------------------------------------------- */
+
+/* A row of a live job, and where it stands. */
+struct spot {
+    struct job *job;
+    struct row *row;
+    const struct step_spec *step;
+    int64_t no, time, group;     /* group: of left, waiting and counted */
+};
+
+/* 0: there is no such row. */
+static int find(const struct record *record, int64_t id, int64_t task, struct spot *spot)
+{
+    struct job *job = record_job(record, id);
+    int64_t no = job ? job_row(job, task) : -1;
+    if (no < 0)
+        return 0;
+    *spot = (struct spot){.job = job, .row = &job->rows[no], .step = &job->spec.steps[task_step(task)], .no = no,
+                          .time = task_time(task)};
+    spot->group = spot->time * job->spec.nSteps + task_step(task);
+    return 1;
+}
+
+/* From one state to another; all counts follow. PLACED: on life. */
+static void move(struct record *record, const struct spot *spot, struct row *row, int32_t state, int32_t life,
+                 int64_t atMs)
+{
+    struct job *job = spot->job;
+    if (row->state == ROW_PLACED)
+        record->lives[row->life].placed--, job->nPlaced--;
+    else if (row->state == ROW_WAITING)
+        job->waiting[spot->group]--;
+    if (state == ROW_PLACED)
+        record->lives[life].placed++, job->nPlaced++;
+    else if (state == ROW_WAITING)
+        job->waiting[spot->group]++;
+    else if (state == ROW_DONE)
+        job->left[spot->group]--, job->nDone++;
+    row->state = state;
+    row->life = life;
+    row->sinceMs = atMs;
+}
+
+static void keep(struct row *row, const char *saved)
+{
+    free(row->saved);
+    row->saved = must_dup(saved);
+}
+
+/* --- placing ------------------------------------------------------------ */
+
+static int64_t life_of(struct record *record, const char *name, int64_t agent)
+{
+    int64_t at = -1;
+    for (int64_t i = 0; i < record->nLives; i++) {
+        if (!strcmp(record->lives[i].name, name)) {
+            at = i;
+            break;
+        }
+        if (at < 0 && !record->lives[i].placed)
+            at = i;
+    }
+    if (at < 0) {
+        list_more(record->lives, record->nLives);
+        at = record->nLives - 1;
+    }
+    struct life *life = &record->lives[at];
+    if (!life->name || strcmp(life->name, name)) {
+        free(life->name);
+        life->name = must_dup(name);
+    }
+    life->agent = agent;
+    return at;
+}
+
+/* taken: this run comes to be. Until all are looked at, its row has the life TAKING,
+ * so that naming a row twice is refused. */
+enum { TAKING = -2 };
+struct taking {
+    struct spot spot;
+    int taken, refused;
+};
+
+static int may_place(const struct spot *spot, const struct run_ref *run)
+{
+    return !job_over(spot->job) && spot->row->state == ROW_WAITING && spot->row->life != TAKING &&
+           run->attempt > spot->row->attempt && run->attempt <= INT32_MAX &&
+           job_step_begins(spot->job, spot->time, task_step(run->task));
+}
+
+/* All or nothing: gives back what this op took of the gang, and takes no more of it. */
+static void refuse_gang(struct taking *takings, int64_t n, struct spot gang)
+{
+    for (int64_t i = 0; i < n; i++) {
+        struct taking *t = &takings[i];
+        if (t->spot.job != gang.job || t->spot.group != gang.group)
+            continue;
+        if (t->taken)
+            t->spot.row->life = -1;
+        t->taken = 0;
+        t->refused = 1;
+    }
+}
+
+static int apply_place(struct record *record, const struct record_op *op)
+{
+    int64_t n = op->nRuns, taken = 0;
+    if (!op->life)
+        return P_BAD_FIELD;
+    struct taking *takings = must_alloc(sizeof *takings * (size_t)n);
+    for (int64_t i = 0; i < n; i++)
+        takings[i].refused = !find(record, op->runs[i].job, op->runs[i].task, &takings[i].spot);
+    for (int64_t i = 0; i < n; i++) {
+        struct taking *t = &takings[i];
+        if (t->refused)
+            continue;
+        t->taken = may_place(&t->spot, &op->runs[i]);
+        if (t->taken)
+            t->spot.row->life = TAKING;
+        else if (t->spot.step->gang)
+            refuse_gang(takings, n, t->spot);
+    }
+    for (int64_t i = 0; i < n; i++)
+        taken += takings[i].taken;
+    int64_t life = taken ? life_of(record, op->life, op->agent) : -1;
+    for (int64_t i = 0; i < n; i++) {
+        struct taking *t = &takings[i];
+        if (!t->taken)
+            continue;
+        t->spot.row->attempt = (int32_t)op->runs[i].attempt;
+        move(record, &t->spot, t->spot.row, ROW_PLACED, (int32_t)life, op->atMs);
+        if (t->spot.job->state == JOB_PENDING)
+            t->spot.job->state = JOB_ACTIVE;
+    }
+    for (int64_t i = 0; i < n; i++)
+        if (takings[i].taken)
+            record_tell(record, takings[i].spot.job, takings[i].spot.no);
+    free(takings);
+    return taken ? P_OK : P_STALE;
+}
+
+/* --- ends --------------------------------------------------------------- */
+
+/* The rows that an end speaks for: the one it names, or all of its gang. */
+struct span {
+    int64_t from, n;
+};
+
+static struct span span_of(const struct spot *spot, int whole)
+{
+    int64_t step = spot->step - spot->job->spec.steps;
+    return whole ? (struct span){spot->time * spot->job->tasks + spot->job->first[step], spot->step->taskCount}
+                 : (struct span){spot->no, 1};
+}
+
+static void end_done(struct record *record, const struct spot *spot, int64_t atMs)
+{
+    struct job *job = spot->job;
+    struct span span = span_of(spot, spot->step->gang != 0);
+    for (int64_t no = span.from; no < span.from + span.n; no++) {
+        keep(&job->rows[no], NULL);
+        if (job->rows[no].state != ROW_DONE)
+            move(record, spot, &job->rows[no], ROW_DONE, -1, atMs);
+    }
+    for (int64_t no = span.from; no < span.from + span.n; no++)
+        record_tell(record, job, no);
+    if (job->nDone == job->times * job->tasks)
+        job_end(record, job, JOB_DONE, atMs);
+}
+
+/* An end as failed counts as a failure, of a gang once for an attempt. */
+static void end_undone(struct record *record, const struct spot *spot, const struct run_ended *end, int64_t atMs)
+{
+    struct job *job = spot->job;
+    int64_t max = record->queues[job->queue].config.attemptsMax;
+    int gang = spot->step->gang != 0;
+    int failed = end->how == END_FAILED && !spot->step->lasting &&
+                 !(gang && job->counted[spot->group] == end->attempt);
+    int saved = end->saved && *end->saved;
+    struct span span = span_of(spot, gang && (failed || saved));
+    for (int64_t no = span.from; no < span.from + span.n; no++) {
+        job->rows[no].failures += failed;
+        if (saved)
+            keep(&job->rows[no], end->saved);
+    }
+    if (failed)
+        job->counted[spot->group] = end->attempt;
+    int over = failed && spot->row->failures >= max;      /* max 0 is as 1 */
+    move(record, spot, spot->row, over ? ROW_FAILED : ROW_WAITING, -1, atMs);
+    for (int64_t no = span.from; no < span.from + span.n; no++)
+        record_tell(record, job, no);
+    if (over)
+        job_end(record, job, JOB_FAILED, atMs);
+}
+
+/* An end counts for the attempt that is placed; that it is done also for one that was let go of since. */
+static int apply_ended(struct record *record, const struct run_ended *end, int64_t atMs)
+{
+    struct spot spot;
+    if (!find(record, end->job, end->task, &spot) || end->attempt < 1 || spot.row->attempt != end->attempt)
+        return 0;
+    int placed = spot.row->state == ROW_PLACED, done = end->how == END_DONE && !spot.step->lasting;
+    if (!placed && !(done && spot.row->state == ROW_WAITING && !job_over(spot.job) &&
+                     job_step_begins(spot.job, spot.time, task_step(end->task))))
+        return 0;
+    if (job_over(spot.job)) {
+        move(record, &spot, spot.row, ROW_WAITING, -1, atMs);
+        record_tell(record, spot.job, spot.no);
+        if (let_go(record, spot.job))
+            record_tell(record, spot.job, -1);
+    } else if (done) {
+        end_done(record, &spot, atMs);
+    } else {
+        end_undone(record, &spot, end, atMs);
+    }
+    return 1;
+}
+
+static int apply_end(struct record *record, const struct record_op *op)
+{
+    int64_t counted = 0;
+    for (int64_t i = 0; i < op->nEnded; i++)
+        counted += apply_ended(record, &op->ended[i], op->atMs);
+    return counted ? P_OK : P_STALE;
+}
+
+int record_apply(struct record *record, const struct record_op *op)
+{
+    switch (op->kind) {
+    case OP_CONFIG:
+        return apply_config(record, op);
+    case OP_JOB:
+        return apply_job(record, op);
+    case OP_CANCEL:
+        return apply_cancel(record, op);
+    case OP_PLACE:
+        return apply_place(record, op);
+    case OP_END:
+        return apply_end(record, op);
+    case OP_FORGET:
+        return apply_forget(record, op);
+    default:
+        return P_BAD_FIELD;
+    }
+}
--- a/src/keeper/found.c
+++ b/src/keeper/found.c
@@ -1,6 +1,5 @@
 /* Identity and founding. Three empty keepers found the logs together, by the
  * word of the lowest seed; an empty keeper that comes later joins as learner. */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,86 +13,8 @@
     INT(found, id), INT(found, empty), INT(found, addr), STR(found, zone)};
 SHAPE(foundShape, found, foundFields);
 
-static const struct field joinFields[] = {INT(join, id), INT(join, addr), STR(join, zone)};
-SHAPE(joinShape, join, joinFields);
-
-struct identity {
-    int64_t id, cluster;
-};
-static const struct field identityFields[] = {INT(identity, id), INT(identity, cluster)};
-static SHAPE(identityShape, identity, identityFields);
-
-static int identity_read(struct keeper *k, struct identity *identity)
-{
-    struct bytes data = {0};
-    uint32_t sum = 0;
-    int rc = k->w->calls->disk_read(k->w, "identity", &data);
-    if (!rc && data.len > 4) {
-        memcpy(&sum, data.at, 4);
-        rc = sum == crc_of(data.at + 4, data.len - 4) ? shape_unpack(&identityShape, identity, data.at + 4, data.len - 4)
-                                                      : P_DISK;
-    } else {
-        rc = rc == P_NO_SUCH ? P_NO_SUCH : P_DISK;
-    }
-    bytes_free(&data);
-    return rc;
-}
-
-static void see_any(void *arg, const char *name)
-{
-    int *logs = arg;
-    if (!strncmp(name, "control-", 8) || !strncmp(name, "jobs-", 5))
-        *logs = 1;
-}
-
-/* A small file that is there whole and synced, or not at all. */
-static int save_whole(struct keeper *k, const char *name, const struct bytes *data)
-{
-    struct world *w = k->w;
-    char temp[64];
-    uint32_t sum = crc_of(data->at, data->len);
-    snprintf(temp, sizeof temp, "%s-temp", name);
-    w->calls->disk_remove(w, temp);
-    int rc = w->calls->disk_add(w, temp, &sum, sizeof sum);
-    if (!rc)
-        rc = w->calls->disk_add(w, temp, data->at, data->len);
-    if (!rc)
-        rc = w->calls->disk_sync(w, temp);
-    if (!rc)
-        rc = w->calls->disk_rename(w, temp, name);
-    return rc ? rc : w->calls->disk_sync_names(w);
-}
-
-/* An identity is made once on an empty disk. Logs without one are not ours to vote with. */
-int found_identity(struct keeper *k)
-{
-    struct identity identity = {0};
-    struct bytes data = {0};
-    int logs = 0;
-    int rc = identity_read(k, &identity);
-    if (!rc) {
-        k->id = identity.id;
-        if (identity.cluster != k->cluster) {
-            world_note(k->w, EV_LOG_BROKEN, "the data folder belongs to another cluster");
-            return P_DISK;
-        }
-        return P_OK;
-    }
-    if (k->w->calls->disk_list(k->w, see_any, &logs))
-        return P_DISK;
-    if (rc != P_NO_SUCH || logs) {
-        world_note(k->w, EV_LOG_BROKEN, "identity is missing or damaged beside existing logs; move the data folder "
-                   "aside and start this keeper empty, it will join under a new identity");
-        return P_DISK;
-    }
-    identity.id = (int64_t)(world_random(k->w) >> 2) | 1;
-    identity.cluster = k->cluster;
-    shape_pack(&identityShape, &identity, &data);
-    rc = save_whole(k, "identity", &data);
-    bytes_free(&data);
-    k->id = identity.id;
-    return rc;
-}
+/* Who this keeper is, for both logs. */
+int found_identity(struct keeper *k) { return log_identity(k->w, k->cluster, &k->id); }
 
 int found_empty(const struct keeper *k)
 {
@@ -127,32 +48,21 @@
  * keeper that dies in between finishes it when it comes back. */
 static int founding_save(struct keeper *k, const struct log_members *members)
 {
-    struct bytes data = {0};
-    shape_pack(&logMembersShape, members, &data);
-    int rc = save_whole(k, "founding", &data);
-    bytes_free(&data);
-    return rc;
+    return log_save_shape(k->w, "founding", &logMembersShape, members);
 }
 
 void found_finish(struct keeper *k)
 {
-    struct bytes data = {0};
     struct log_members members = {0};
-    uint32_t sum = 0;
-    if (!k->w->calls->disk_read(k->w, "founding", &data) && data.len > 4) {
-        memcpy(&sum, data.at, 4);
-        if (sum == crc_of(data.at + 4, data.len - 4) &&
-            !shape_unpack(&logMembersShape, &members, data.at + 4, data.len - 4)) {
-            int ours = 0;
-            for (int64_t i = 0; i < members.n; i++)
-                ours |= members.members[i].id == k->id;
-            for (int64_t g = 0; ours && g < GROUP_COUNT; g++)
-                if (!log_last(&k->logs[g]) && !k->logs[g].term)
-                    log_found(&k->logs[g], &members);
-        }
+    if (!log_load_shape(k->w, "founding", &logMembersShape, &members)) {
+        int ours = 0;
+        for (int64_t i = 0; i < members.n; i++)
+            ours |= members.members[i].id == k->id;
+        for (int64_t g = 0; ours && g < GROUP_COUNT; g++)
+            if (!log_last(&k->logs[g]) && !k->logs[g].term)
+                log_found(&k->logs[g], &members);
     }
     shape_free(&logMembersShape, &members);
-    bytes_free(&data);
 }
 
 static void found_now(struct keeper *k)
--- a/src/keeper/keeper.h
+++ b/src/keeper/keeper.h
@@ -5,6 +5,7 @@
 #include "base/slab.h"
 #include "charter/charter.h"
 #include "log/log.h"
+#include "log/log_identity.h"
 #include "node/node.h"
 #include "sibling/sibling.h"
 
@@ -12,11 +13,7 @@
     int64_t id, empty, addr;
     char *zone;
 };
-struct join {
-    int64_t id, addr;
-    char *zone;
-};
-extern const struct shape foundShape, joinShape;
+extern const struct shape foundShape;
 
 /* A node that follows the feed from us. */
 struct follower {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -8,6 +8,7 @@
 
 enum log_role { LOG_FOLLOWER, LOG_ASKING, LOG_CANDIDATE, LOG_LEADER };
 enum log_entry_kind { ENTRY_BLANK, ENTRY_OP, ENTRY_MEMBERS };
+enum { ROUNDS_KEPT = 64 };
 enum log_group { GROUP_CONTROL = 0, GROUP_JOBS = 1, GROUP_COUNT = 2 };
 
 struct log_entry {
@@ -121,6 +122,9 @@
     int64_t nSegments;
     int64_t fromId, fromAddr;        /* who spoke last: an empty keeper knows nobody else */
     int64_t lastSyncMs, slowSyncs, broken, syncs, leaderSinceMs;
+    int64_t roundSentMs[ROUNDS_KEPT];        /* of round r at r % ROUNDS_KEPT */
+    int64_t handedOverMs;                    /* in this term we told another to lead; 0: not */
+    int64_t votesFromMs;                     /* no vote before: what we promised a leader in our last life holds */
 };
 
 /* log.c */
@@ -157,6 +161,8 @@
 void log_on_appended(struct log *log, const struct log_appended *appended);
 void log_on_digest(struct log *log, struct log_digest *digest);
 void log_reads_done(struct log *log);
+/* Nobody else can have come to lead until now: a quorum heard us less than an election's time ago. */
+int log_leads(const struct log *log);
 
 /* log_member.c */
 const struct log_member *log_member(const struct log *log, int64_t id);
--- a/src/log/log_copy.c
+++ b/src/log/log_copy.c
@@ -15,6 +15,7 @@
     log->leaderAddr = (int64_t)log->w->self;
     log->leaderSinceMs = nowMs;
     log->slowSyncs = 0;
+    log->handedOverMs = 0;
     for (int64_t i = 0; i < log->nSiblings; i++)
         log->siblings[i] = (struct log_sibling){
             .id = log->siblings[i].id, .next = log_last(log) + 1, .heardMs = nowMs, .syncMs = log->siblings[i].syncMs};
@@ -65,6 +66,7 @@
 {
     if (beat) {
         log->round++;
+        log->roundSentMs[log->round % ROUNDS_KEPT] = world_ms(log->w);
         log->heartbeatDueMs = world_ms(log->w) + log->params.heartbeatMs;
     }
     for (int64_t i = 0; i < log->nSiblings; i++)
@@ -162,6 +164,18 @@
     return 0;
 }
 
+int log_leads(const struct log *log)
+{
+    int64_t sinceMs = world_ms(log->w) - log->params.electionMs;
+    if (log->role != LOG_LEADER || log->broken || log->handedOverMs)
+        return 0;
+    int64_t r = log->round;
+    while (r > 0 && r > log->round - ROUNDS_KEPT && log->roundSentMs[r % ROUNDS_KEPT] > sinceMs)
+        if (log_quorum(log, has_round, r--))
+            return 1;
+    return 0;
+}
+
 /* A new leader answers only once an entry of its own term is committed. */
 void log_reads_done(struct log *log)
 {
--- a/src/log/log_elect.c
+++ b/src/log/log_elect.c
@@ -80,7 +80,7 @@
     int newer = ask->lastTerm > lastTerm || (ask->lastTerm == lastTerm && ask->lastIndex >= log_last(log));
     struct log_vote vote = {.group = log->group, .from = log->id, .to = ask->from, .pre = ask->pre};
     /* a leader in sight is not unseated by somebody who merely lost sight of it */
-    if (heard && !ask->transfer)
+    if ((heard || nowMs < log->votesFromMs) && !ask->transfer)
         return;
     if (ask->pre) {
         vote.granted = ask->term > log->term && newer;
@@ -136,6 +136,7 @@
         return P_NO_OWNER;
     struct log_lead_now now = {.group = log->group, .term = log->term, .from = log->id, .to = best->id};
     log_send(log, best->id, FRAME_LEAD_NOW, &logLeadNowShape, &now);
+    log->handedOverMs = world_ms(log->w);
     log->slowSyncs = 0;
     return P_OK;
 }
--- /dev/null
+++ b/src/log/log_identity.c
@@ -0,0 +1,83 @@
+#include "log/log_identity.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/events.h"
+#include "base/problem.h"
+
+static const struct field joinFields[] = {INT(join, id), INT(join, addr), STR(join, zone)};
+SHAPE(joinShape, join, joinFields);
+
+struct identity {
+    int64_t id, cluster;
+};
+static const struct field identityFields[] = {INT(identity, id), INT(identity, cluster)};
+static SHAPE(identityShape, identity, identityFields);
+
+int log_load_shape(struct world *w, const char *name, const struct shape *shape, void *to)
+{
+    struct bytes data = {0};
+    uint32_t sum = 0;
+    int rc = w->calls->disk_read(w, name, &data);
+    if (!rc && data.len > 4) {
+        memcpy(&sum, data.at, 4);
+        rc = sum == crc_of(data.at + 4, data.len - 4) ? shape_unpack(shape, to, data.at + 4, data.len - 4) : P_DISK;
+    } else {
+        rc = rc == P_NO_SUCH ? P_NO_SUCH : P_DISK;
+    }
+    bytes_free(&data);
+    return rc;
+}
+
+int log_save_shape(struct world *w, const char *name, const struct shape *shape, const void *from)
+{
+    struct bytes data = {0};
+    char temp[64];
+    shape_pack(shape, from, &data);
+    uint32_t sum = crc_of(data.at, data.len);
+    snprintf(temp, sizeof temp, "%s-temp", name);
+    w->calls->disk_remove(w, temp);
+    int rc = w->calls->disk_add(w, temp, &sum, sizeof sum);
+    if (!rc)
+        rc = w->calls->disk_add(w, temp, data.at, data.len);
+    if (!rc)
+        rc = w->calls->disk_sync(w, temp);
+    if (!rc)
+        rc = w->calls->disk_rename(w, temp, name);
+    bytes_free(&data);
+    return rc ? rc : w->calls->disk_sync_names(w);
+}
+
+static void see_any(void *arg, const char *name)
+{
+    int *logs = arg;
+    if (!strncmp(name, "control-", 8) || !strncmp(name, "jobs-", 5))
+        *logs = 1;
+}
+
+int log_identity(struct world *w, uint32_t cluster, int64_t *id)
+{
+    struct identity identity = {0};
+    int logs = 0;
+    int rc = log_load_shape(w, "identity", &identityShape, &identity);
+    if (!rc) {
+        *id = identity.id;
+        if (identity.cluster != cluster) {
+            world_note(w, EV_LOG_BROKEN, "the data folder belongs to another cluster");
+            return P_DISK;
+        }
+        return P_OK;
+    }
+    if (w->calls->disk_list(w, see_any, &logs))
+        return P_DISK;
+    if (rc != P_NO_SUCH || logs) {
+        world_note(w, EV_LOG_BROKEN, "identity is missing or damaged beside existing logs; move the data folder "
+                   "aside and start this keeper empty, it will join under a new identity");
+        return P_DISK;
+    }
+    identity.id = (int64_t)(world_random(w) >> 2) | 1;
+    identity.cluster = cluster;
+    *id = identity.id;
+    return log_save_shape(w, "identity", &identityShape, &identity);
+}
--- /dev/null
+++ b/src/log/log_identity.h
@@ -0,0 +1,19 @@
+/* Who a voter is: made once on an empty disk, and the small files beside a log
+ * that are there whole and synced, or not at all. */
+#ifndef SAGEHITCH_LOG_IDENTITY_H
+#define SAGEHITCH_LOG_IDENTITY_H
+#include "log/log.h"
+
+/* One that holds no vote yet asks the leader to let it learn. */
+struct join {
+    int64_t id, addr;
+    char *zone;
+};
+extern const struct shape joinShape;
+
+/* P_DISK: the disk holds logs that are not ours to vote with, or cannot be used. */
+int log_identity(struct world *w, uint32_t cluster, int64_t *id);
+int log_save_shape(struct world *w, const char *name, const struct shape *shape, const void *from);
+/* to must be zeroed; P_NO_SUCH: no such file, P_DISK: damaged */
+int log_load_shape(struct world *w, const char *name, const struct shape *shape, void *to);
+#endif
--- a/src/log/log_store.c
+++ b/src/log/log_store.c
@@ -186,6 +186,9 @@
                 rc = log->w->calls->disk_sync(log->w, name);
         }
     }
+    /* what a killed process wrote but never synced is read back here: it must last before it counts */
+    if (!rc && last && off == data.len)
+        rc = log->w->calls->disk_sync(log->w, name);
     bytes_free(&data);
     return rc;
 }
--- a/src/proc/http_in.c
+++ b/src/proc/http_in.c
@@ -1,15 +1,18 @@
 /* The door: libmicrohttpd driven by our loop through its epoll descriptor.
  * A request that must wait is suspended and resumed when its answer comes. */
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <arpa/inet.h>
+#include <unistd.h>
 
 #include "base/problem.h"
+#include "controller/dialect.h"
 #include "proc/real.h"
 
-enum { BODY_MAX = 8 << 20 };
+enum { BODY_MAX = 8 << 20, CONNECTION_BYTES = 32 << 10, CONNECTIONS = 3000, IDLE_S = 60, BACKLOG = 1024 };
 
 /* Invariant: slot names this cell in real->asks from the moment the whole body
  * is there until the connection is done with it. */
@@ -59,6 +62,8 @@
         snprintf(seconds, sizeof seconds, "%lld", (long long)((ask->retryMs + 999) / 1000));
         MHD_add_response_header(response, "Retry-After", seconds);
     }
+    if (ask->real->role.web && ask->real->leavingMs)
+        MHD_add_response_header(response, "Connection", "close");
     enum MHD_Result result = MHD_queue_response(ask->connection, (unsigned)ask->status, response);
     MHD_destroy_response(response);
     return result;
@@ -83,6 +88,27 @@
     }
 }
 
+static const char *header_of(const struct web_ask *web, const char *name)
+{
+    return MHD_lookup_connection_value(web->arg, MHD_HEADER_KIND, name);
+}
+
+static void hand_on(struct ask *ask, const char *method)
+{
+    struct real *real = ask->real;
+    const char *body = ask->body.len ? (char *)ask->body.at : "";
+    if (!real->role.web) {
+        real->role.ask(real->role.arg, ask->slot, method, ask->path, body, ask->body.len);
+        return;
+    }
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(ask->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    const struct web_listener *at = info->socket_context;
+    struct web_ask web = {.entry = at->entry, .method = method, .path = ask->path, .body = body,
+                          .len = ask->body.len, .header = header_of, .arg = ask->connection};
+    real->role.web(real->role.arg, ask->slot, &web);
+}
+
 static enum MHD_Result handle(void *arg, struct MHD_Connection *connection, const char *url, const char *method,
                               const char *version, const char *data, size_t *size, void **cls)
 {
@@ -113,8 +139,7 @@
     if (ask->tooLarge)
         world_answer(&real->base, ask->slot, P_TOO_LARGE, "the body is over %d bytes", BODY_MAX);
     else
-        real->role.ask(real->role.arg, ask->slot, method, ask->path, ask->body.len ? (char *)ask->body.at : "",
-                       ask->body.len);
+        hand_on(ask, method);
     if (ask->answer)
         return queue_answer(ask);
     ask->suspended = 1;
@@ -145,15 +170,8 @@
     *cls = NULL;
 }
 
-int door_start(struct real *real)
+static int watch_daemon(struct real *real)
 {
-    uint64_t addr = real->base.httpAddr;
-    struct sockaddr_in at = {.sin_family = AF_INET, .sin_port = htons((uint16_t)(addr & 0xffff))};
-    at.sin_addr.s_addr = htonl((uint32_t)(addr >> 16));
-    real->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, real, MHD_OPTION_SOCK_ADDR, &at,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK, begun, real,
-        MHD_OPTION_NOTIFY_COMPLETED, completed, real, MHD_OPTION_CONNECTION_TIMEOUT, 60u, MHD_OPTION_END);
     if (!real->daemon)
         return P_BAD_PARAM;
     const union MHD_DaemonInfo *info = MHD_get_daemon_info(real->daemon, MHD_DAEMON_INFO_EPOLL_FD);
@@ -166,8 +184,93 @@
     return P_OK;
 }
 
+static struct sockaddr_in address(uint64_t addr)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET, .sin_port = htons((uint16_t)(addr & 0xffff))};
+    at.sin_addr.s_addr = htonl((uint32_t)(addr >> 16));
+    return at;
+}
+
+int door_start(struct real *real)
+{
+    struct sockaddr_in at = address(real->base.httpAddr);
+    real->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, real, MHD_OPTION_SOCK_ADDR, &at,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_URI_LOG_CALLBACK, begun, real,
+        MHD_OPTION_NOTIFY_COMPLETED, completed, real, MHD_OPTION_CONNECTION_TIMEOUT, 60u, MHD_OPTION_END);
+    return watch_daemon(real);
+}
+
+/* --- one daemon behind several listeners ------------------------------------------ */
+
+static void noted(void *arg, struct MHD_Connection *connection, void **context, enum MHD_ConnectionNotificationCode code)
+{
+    struct real *real = arg;
+    (void)connection;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED)
+        *context = &real->listeners[real->entry];
+}
+
+static void listener_event(struct ev_loop *loop, ev_io *io, int events)
+{
+    struct web_listener *at = io->data;
+    struct real *real = at->real;
+    struct sockaddr_in from;
+    socklen_t len = sizeof from;
+    int fd, on = 1, taken = 0;
+    (void)loop, (void)events;
+    while ((fd = accept4(at->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        real->entry = at - real->listeners;
+        MHD_add_connection(real->daemon, fd, (struct sockaddr *)&from, len);     /* closes it where it fails */
+        len = sizeof from;
+        taken = 1;
+    }
+    if (taken)
+        door_poke(real);
+}
+
+static int listen_at(struct real *real, int64_t entry, uint64_t addr)
+{
+    struct web_listener *at = &real->listeners[real->nListeners];
+    struct sockaddr_in in = address(addr);
+    int on = 1;
+    *at = (struct web_listener){.real = real, .entry = entry};
+    at->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (at->fd < 0)
+        return P_BAD_PARAM;
+    real->nListeners++;
+    setsockopt(at->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    if (bind(at->fd, (struct sockaddr *)&in, sizeof in) || listen(at->fd, BACKLOG)) {
+        fprintf(stderr, "sagehitch: cannot listen on %s\n", addr_text(addr));
+        return P_BAD_PARAM;
+    }
+    ev_io_init(&at->io, listener_event, at->fd, EV_READ);
+    at->io.data = at;
+    ev_io_start(real->loop, &at->io);
+    return P_OK;
+}
+
+int web_open(struct real *real, const int64_t addrs[LISTENERS])
+{
+    _Static_assert((int)LISTENERS == (int)ENTRY_COUNT, "a listener for each entry");
+    real->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET | MHD_USE_SUPPRESS_DATE_NO_CLOCK, 0, NULL,
+        NULL, handle, real, MHD_OPTION_URI_LOG_CALLBACK, begun, real, MHD_OPTION_NOTIFY_COMPLETED, completed, real,
+        MHD_OPTION_NOTIFY_CONNECTION, noted, real, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_BYTES,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_S,
+        MHD_OPTION_END);
+    int rc = watch_daemon(real);
+    for (int64_t entry = 0; !rc && entry < ENTRY_COUNT; entry++)
+        if (addrs[entry])
+            rc = listen_at(real, entry, (uint64_t)addrs[entry]);
+    return rc;
+}
+
 void door_end(struct real *real)
 {
+    for (int64_t i = 0; i < real->nListeners; i++)
+        close(real->listeners[i].fd);
     if (!real->daemon)
         return;
     for (int64_t i = 0; i < real->asks.cap; i++) {
--- a/src/proc/http_out.c
+++ b/src/proc/http_out.c
@@ -1,10 +1,14 @@
 /* Calls to executors and doors: libcurl's multi interface on our loop. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "proc/real.h"
 
+/* headers: owned, NULL where the common ones do. */
 struct out {
     struct real *real;
     CURL *easy;
@@ -35,7 +39,12 @@
         curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &out);
         curl_easy_getinfo(msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
         curl_multi_remove_handle(real->multi, out->easy);
-        curl_easy_cleanup(out->easy);
+        if (real->nIdle < COUNT_OF(real->idle)) {
+            curl_easy_reset(out->easy);
+            real->idle[real->nIdle++] = out->easy;
+        } else {
+            curl_easy_cleanup(out->easy);
+        }
         curl_slist_free_all(out->headers);
         real->nCalls--;
         bytes_add(&out->got, "", 0);
@@ -111,23 +120,39 @@
     return size * n;
 }
 
-void out_call(struct world *w, uint64_t to, const char *method, const char *path, const char *body, int64_t waitMs,
-              call_done *done, void *arg, int64_t tag)
+/* A peer that vanished without a word is given up as it is by frames. */
+static int on_open(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+    int waitMs = 3000;
+    (void)arg, (void)purpose;
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &waitMs, sizeof waitMs);
+    return CURL_SOCKOPT_OK;
+}
+
+static struct curl_slist *common_headers(void)
+{
+    return curl_slist_append(curl_slist_append(NULL, "Content-Type: application/json"), "Expect:");
+}
+
+void out_call_with(struct world *w, uint64_t to, const char *method, const char *path, const char *header,
+                   const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag)
 {
     struct real *real = (struct real *)w;
     struct out *out = must_alloc(sizeof *out);
     *out = (struct out){.real = real, .done = done, .arg = arg, .tag = tag, .body = must_dup(body ? body : "")};
     snprintf(out->url, sizeof out->url, "http://%s%.100s", addr_text(to), path);
-    out->easy = curl_easy_init();
-    out->headers = curl_slist_append(curl_slist_append(NULL, "Content-Type: application/json"), "Expect:");
+    out->easy = real->nIdle ? real->idle[--real->nIdle] : curl_easy_init();
+    if (header)
+        out->headers = curl_slist_append(common_headers(), header);
     curl_easy_setopt(out->easy, CURLOPT_URL, out->url);
     curl_easy_setopt(out->easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(out->easy, CURLOPT_TIMEOUT_MS, (long)waitMs);
-    curl_easy_setopt(out->easy, CURLOPT_HTTPHEADER, out->headers);
+    curl_easy_setopt(out->easy, CURLOPT_HTTPHEADER, out->headers ? out->headers : real->headers);
     curl_easy_setopt(out->easy, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(out->easy, CURLOPT_WRITEDATA, out);
     curl_easy_setopt(out->easy, CURLOPT_PRIVATE, out);
     curl_easy_setopt(out->easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(out->easy, CURLOPT_SOCKOPTFUNCTION, on_open);
     if (strcmp(method, "GET")) {
         curl_easy_setopt(out->easy, CURLOPT_POSTFIELDS, out->body);
         curl_easy_setopt(out->easy, CURLOPT_CUSTOMREQUEST, method);
@@ -136,10 +161,17 @@
     curl_multi_add_handle(real->multi, out->easy);
 }
 
+void out_call(struct world *w, uint64_t to, const char *method, const char *path, const char *body, int64_t waitMs,
+              call_done *done, void *arg, int64_t tag)
+{
+    out_call_with(w, to, method, path, NULL, body, waitMs, done, arg, tag);
+}
+
 void out_start(struct real *real)
 {
-    curl_global_init(CURL_GLOBAL_ALL);
+    curl_global_init(CURL_GLOBAL_NOTHING);
     real->multi = curl_multi_init();
+    real->headers = common_headers();
     ev_timer_init(&real->multiTimer, timer_event, 1., 0.);
     real->multiTimer.data = real;
     curl_multi_setopt(real->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
@@ -148,8 +180,18 @@
     curl_multi_setopt(real->multi, CURLMOPT_TIMERDATA, real);
 }
 
+/* Few connections that are used again and again, for those who call few others. */
+void out_limit(struct real *real, long hostConnections, long kept)
+{
+    curl_multi_setopt(real->multi, CURLMOPT_MAX_HOST_CONNECTIONS, hostConnections);
+    curl_multi_setopt(real->multi, CURLMOPT_MAXCONNECTS, kept);
+}
+
 void out_end(struct real *real)
 {
+    while (real->nIdle)
+        curl_easy_cleanup(real->idle[--real->nIdle]);
     curl_multi_cleanup(real->multi);
+    curl_slist_free_all(real->headers);
     curl_global_cleanup();
 }
--- a/src/proc/main.c
+++ b/src/proc/main.c
@@ -27,7 +27,8 @@
         fprintf(to, "  %-9s %s\n", roles[i].name, roles[i].what);
     fprintf(to, "  ctl       look at and change a running cluster; see sagehitch ctl --help\n"
                 "  check     fold executors' journals and say whether a rule was broken\n"
-                "  runbook   check or run a runbook; see sagehitch runbook --help\n\n"
+                "  runbook   check or run a runbook; see sagehitch runbook --help\n"
+                "  platform  controller or agent on the users' platform, told by its settings file\n\n"
                 "sagehitch ROLE --help lists the settings of a role, which a file may hold too.\n");
 }
 
@@ -87,6 +88,8 @@
         return check_main(argc - 2, argv + 2);
     if (!strcmp(role, "runbook"))
         return runbook_main(argc - 2, argv + 2);
+    if (!strcmp(role, "platform"))
+        return platform_main(argc - 2, argv + 2);
     shape_defaults(&localShape, &local);
     argv[1] = argv[0];
     argc--;
--- a/src/proc/net.c
+++ b/src/proc/net.c
@@ -12,17 +12,19 @@
 #include "base/problem.h"
 #include "proc/real.h"
 
-enum { OUT_MAX = 128 << 20, AGAIN_MS = 100 };
+enum { AGAIN_MS = 100, CONNECT_MS = 1000, STUCK_MS = 2000, CHECK_MS = 100, SMALL = 16 << 10 };
 
 /* Invariant: queue owns a reference to each frame in it, first is the one being
- * sent, sent bytes of it are; on a lost connection everything is dropped. */
+ * sent, sent bytes of it are; on a lost connection everything is dropped. movedMs:
+ * when it last went on, or began to have something to send. */
 struct net_out {
     struct real *real;
     uint64_t to;
     int fd;
     ev_io io;
     struct blob **queue;
-    int64_t n, first, sent, waiting, againMs;
+    int64_t n, first, sent, waiting, againMs, openedMs, movedMs;
+    int connected;
 };
 
 struct net_in {
@@ -73,6 +75,8 @@
             out_drop(out);
             return;
         }
+        out->connected = 1;
+        out->movedMs = world_ms(&out->real->base);
         out->sent += n;
         out->waiting -= n;
         if (out->sent < frame->len)
@@ -103,6 +107,8 @@
         out->againMs = world_ms(&out->real->base) + AGAIN_MS;
         return;
     }
+    out->openedMs = world_ms(&out->real->base);
+    out->connected = 0;
     ev_io_init(&out->io, out_event, out->fd, EV_READ | EV_WRITE);
     out->io.data = out;
     ev_io_start(out->real->loop, &out->io);
@@ -130,7 +136,7 @@
     struct net_out *out = out_to(real, to);
     if (out->fd < 0 && world_ms(w) >= out->againMs)
         out_open(out);
-    if (out->fd < 0 || out->waiting + frame->bytes.len > OUT_MAX)
+    if (out->fd < 0 || out->waiting + frame->bytes.len > real->outMax)
         return;
     int idle = !out->n;
     if (out->first > 1000) {
@@ -141,12 +147,28 @@
     *list_more(out->queue, out->n) = blob_hold(frame);
     out->waiting += frame->bytes.len;
     if (idle) {
+        out->movedMs = world_ms(w);
         ev_io_stop(real->loop, &out->io);
         ev_io_set(&out->io, out->fd, EV_READ | EV_WRITE);
         ev_io_start(real->loop, &out->io);
     }
 }
 
+/* A peer that answers nothing is given up soon, so that one that is back is heard at once. */
+void net_tick(struct real *real)
+{
+    int64_t nowMs = world_ms(&real->base);
+    if (nowMs < real->outsDueMs)
+        return;
+    real->outsDueMs = nowMs + CHECK_MS;
+    for (int64_t i = 0; i < real->nOuts; i++) {
+        struct net_out *out = real->outs[i];
+        if (out->fd >= 0 && ((!out->connected && out->n && nowMs - out->openedMs > CONNECT_MS) ||
+                             (out->n && nowMs - out->movedMs > STUCK_MS)))
+            out_drop(out);
+    }
+}
+
 static void in_end(struct net_in *in)
 {
     ev_io_stop(in->real->loop, &in->io);
@@ -183,6 +205,8 @@
         off += len;
     }
     in->got.len -= off;
+    if (!in->got.len && in->got.cap > SMALL)
+        bytes_free(&in->got);
     if (off && in->got.len)
         memmove(in->got.at, in->got.at + off, (size_t)in->got.len);
 }
@@ -190,15 +214,15 @@
 static void listen_event(struct ev_loop *loop, ev_io *io, int events)
 {
     struct real *real = io->data;
+    int fd;
     (void)events;
-    int fd = accept4(real->listenFd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd < 0)
-        return;
-    struct net_in *in = must_alloc(sizeof *in);
-    *in = (struct net_in){.real = real, .fd = fd};
-    ev_io_init(&in->io, in_event, fd, EV_READ);
-    in->io.data = in;
-    ev_io_start(loop, &in->io);
+    while ((fd = accept4(real->listenFd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        struct net_in *in = must_alloc(sizeof *in);
+        *in = (struct net_in){.real = real, .fd = fd};
+        ev_io_init(&in->io, in_event, fd, EV_READ);
+        in->io.data = in;
+        ev_io_start(loop, &in->io);
+    }
 }
 
 static void udp_event(struct ev_loop *loop, ev_io *io, int events)
@@ -221,7 +245,7 @@
     real->listenFd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     real->udpFd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(real->listenFd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(real->listenFd, (struct sockaddr *)&at, sizeof at) || listen(real->listenFd, 128) ||
+    if (bind(real->listenFd, (struct sockaddr *)&at, sizeof at) || listen(real->listenFd, 1024) ||
         bind(real->udpFd, (struct sockaddr *)&at, sizeof at))
         return P_BAD_PARAM;
     ev_io_init(&real->listenIo, listen_event, real->listenFd, EV_READ);
--- a/src/proc/real.c
+++ b/src/proc/real.c
@@ -10,7 +10,7 @@
 #include "base/events.h"
 #include "base/problem.h"
 
-enum { TICK_MS = 10, LEAVE_MS = 10000 };
+enum { TICK_MS = 10, LEAVE_MS = 10000, OUT_MAX = 128 << 20 };
 
 static int64_t clock_ms(clockid_t id)
 {
@@ -49,11 +49,12 @@
 {
     struct real *real = timer->data;
     (void)events;
+    net_tick(real);
     if (real->role.tick)
         real->role.tick(real->role.arg);
     if (!real->leavingMs)
         return;
-    if (!real->role.left || real->role.left(real->role.arg) || world_ms(&real->base) - real->leavingMs > LEAVE_MS)
+    if (!real->role.left || real->role.left(real->role.arg) || world_ms(&real->base) - real->leavingMs > real->leaveMs)
         ev_break(loop, EVBREAK_ALL);
 }
 
@@ -85,6 +86,10 @@
     struct local next;
     char why[400] = "";
     (void)loop, (void)events;
+    if (real->role.hup) {
+        real->role.hup(real->role.arg);
+        return;
+    }
     shape_defaults(&localShape, &next);
     next.file = must_dup(real->local->file);
     int rc = next.file ? local_read_file(&next, next.file, why, sizeof why) : P_BAD_PARAM;
@@ -112,11 +117,12 @@
 int real_start(struct real *real, struct local *local)
 {
     static struct world_calls calls = {.mono_ms = mono_ms, .wall_ms = wall_ms, .random = random_u64,
-                                       .send = net_send, .call = out_call, .answer = door_reply,
-                                       .note = notes_take};
+                                       .send = net_send, .call = out_call, .call_with = out_call_with,
+                                       .answer = door_reply, .note = notes_take};
     folder_calls(&calls);
     *real = (struct real){.base = {.calls = &calls, .self = local->listenAddr, .httpAddr = local->httpAddr},
-                          .local = local, .listenFd = -1, .udpFd = -1};
+                          .local = local, .listenFd = -1, .udpFd = -1, .tickMs = TICK_MS, .leaveMs = LEAVE_MS,
+                          .outMax = OUT_MAX};
     real->cluster = (uint32_t)hash_text(local->cluster);
     real->loop = ev_default_loop(EVFLAG_AUTO);
     out_start(real);
@@ -139,7 +145,7 @@
         fprintf(stderr, "sagehitch: cannot listen on %s\n", local->http);
         return P_BAD_PARAM;
     }
-    ev_timer_init(&real->tick, on_tick, 0.001, TICK_MS / 1000.);
+    ev_timer_init(&real->tick, on_tick, 0.001, (double)real->tickMs / 1000.);
     real->tick.data = real;
     ev_timer_start(real->loop, &real->tick);
     ev_prepare_init(&real->prepare, on_prepare);
--- a/src/proc/real.h
+++ b/src/proc/real.h
@@ -11,6 +11,8 @@
 #include "proc/local.h"
 
 struct real;
+struct web_ask;          /* controller/dialect.h */
+enum { LISTENERS = 3 };
 
 /* What a role does with what comes in; NULL where it takes no part. */
 struct role {
@@ -18,6 +20,8 @@
     void (*tick)(void *arg);
     void (*take)(void *arg, const uint8_t *at, int64_t len);
     void (*ask)(void *arg, int64_t slot, const char *method, const char *path, const char *body, int64_t len);
+    void (*web)(void *arg, int64_t slot, const struct web_ask *ask);       /* in place of ask: several listeners */
+    void (*hup)(void *arg);                  /* in place of reading the local settings again */
     void (*flush)(void *arg);
     void (*leave)(void *arg);
     int (*left)(void *arg);
@@ -31,6 +35,14 @@
     int fd;
 };
 
+struct web_listener {
+    struct real *real;
+    int64_t entry;
+    int fd;
+    ev_io io;
+};
+
+/* tickMs, leaveMs, outMax: figures a role may change before real_open(). */
 struct real {
     struct world base;               /* first: a world is cast back to its real */
     struct ev_loop *loop;
@@ -41,16 +53,21 @@
     int listenFd, udpFd;
     ev_io listenIo, udpIo;
     struct net_out **outs;
-    int64_t nOuts;
+    int64_t nOuts, outsDueMs;
     /* HTTP in */
     struct MHD_Daemon *daemon;
     ev_io daemonIo;
     ev_timer daemonTimer;
     struct slab asks;
+    struct web_listener listeners[LISTENERS];
+    int64_t nListeners, entry;       /* entry: of the connection that is being taken in */
     /* HTTP out */
     CURLM *multi;
     ev_timer multiTimer;
     int64_t nCalls;
+    CURL *idle[8];
+    int64_t nIdle;
+    struct curl_slist *headers;
     /* disk */
     char *folder;
     struct disk_file files[8];
@@ -59,26 +76,31 @@
     ev_timer tick;
     ev_prepare prepare;
     ev_signal term, intr, hup;
-    int64_t leavingMs;
+    int64_t leavingMs, tickMs, leaveMs, outMax;
 };
 
 int real_start(struct real *real, struct local *local);
 int real_open(struct real *real, int frames, int http);
+int web_open(struct real *real, const int64_t addrs[LISTENERS]);    /* by enum entry; 0: not there */
 void real_run(struct real *real);
 void real_end(struct real *real);
 void real_calls(struct world_calls *calls);
 
 int net_start(struct real *real);
 void net_end(struct real *real);
+void net_tick(struct real *real);
 void net_send(struct world *w, uint64_t to, struct blob *frame, int lossy);
 int door_start(struct real *real);
 void door_end(struct real *real);
 void door_poke(struct real *real);
 void door_reply(struct world *w, int64_t slot, int status, int64_t retryMs, const char *body);
 void out_start(struct real *real);
+void out_limit(struct real *real, long hostConnections, long kept);
 void out_end(struct real *real);
 void out_call(struct world *w, uint64_t to, const char *method, const char *path, const char *body, int64_t waitMs,
               call_done *done, void *arg, int64_t tag);
+void out_call_with(struct world *w, uint64_t to, const char *method, const char *path, const char *header,
+                   const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag);
 int folder_start(struct real *real, const char *folder);
 void folder_end(struct real *real);
 void folder_calls(struct world_calls *calls);
--- /dev/null
+++ b/tests/platform/executor_test.cc
@@ -0,0 +1,143 @@
+// How executors are called, and how their answers are read.
+#include "platform_test.h"
+
+namespace {
+
+struct Call {
+    executor_call call = {};
+    ~Call() { shape_free(&executorCallShape, &call); }
+};
+struct Answered {
+    executor_answer answer = {};
+    int problem;
+    Answered(int status, const std::string &body)
+    {
+        problem = platformExecutor.read(&answer, status, body.data(), (int64_t)body.size());
+    }
+    ~Answered() { shape_free(&executorAnswerShape, &answer); }
+};
+
+const int64_t topJob = (int64_t)0xfedcba9876543210u;
+
+}  // namespace
+
+TEST(Executor, Start)
+{
+    Call made;
+    char text[] = "say \"hi\"\n\\\x01 \u00e6", saved[] = "mark-3", none[] = "";
+    run_start start = {topJob, task_of(6, 2, 4097), 3, text, saved};
+    platformExecutor.start(&made.call, "i-19ab", &start, 88000, 12);
+    EXPECT_STREQ(made.call.method, "POST");
+    EXPECT_STREQ(made.call.path, "/sagehitch/run-start");
+    EXPECT_STREQ(made.call.header, "Expected-Executor: i-19ab");
+    json_t *body = json_loads(made.call.body, 0, nullptr);
+    ASSERT_NE(body, nullptr) << made.call.body;
+    EXPECT_EQ(json_object_size(body), 6u);
+    EXPECT_STREQ(json_string_value(json_object_get(body, "taskId")), "fedcba9876543210.6.2.4097");
+    EXPECT_EQ(json_integer_value(json_object_get(body, "attempt")), 3);
+    EXPECT_STREQ(json_string_value(json_object_get(body, "spec")), text);
+    EXPECT_EQ(json_integer_value(json_object_get(body, "expiresMs")), 88000);
+    EXPECT_EQ(json_integer_value(json_object_get(body, "fenceToken")), 12);
+    EXPECT_STREQ(json_string_value(json_object_get(body, "checkpointed")), saved);
+    json_decref(body);
+    Call bare;
+    start = {5, task_of(0, 0, 0), 1, none, none};
+    platformExecutor.start(&bare.call, "i", &start, 0, 1);
+    EXPECT_STREQ(bare.call.body, R"({"taskId":"0000000000000005.0.0.0","attempt":1,"spec":"","fenceToken":1})");
+}
+
+TEST(Executor, StopAndLook)
+{
+    Call stop, look, still;
+    run_ref run = {0x10, task_of(0, 1, 2), 4};
+    platformExecutor.stop(&stop.call, "i-2", &run, 9);
+    EXPECT_STREQ(stop.call.path, "/sagehitch/run-stop");
+    EXPECT_STREQ(stop.call.header, "Expected-Executor: i-2");
+    EXPECT_STREQ(stop.call.body, R"({"taskId":"0000000000000010.0.1.2","attempt":4,"fenceToken":9})");
+    platformExecutor.look(&look.call, "i-2", 9, 57, 4000, 7000);
+    EXPECT_STREQ(look.call.path, "/sagehitch/hold");
+    EXPECT_STREQ(look.call.body, R"({"fenceToken":9,"lastSeen":57,"expiresMs":4000,"queueWaitMs":2000})");
+    platformExecutor.look(&still.call, "i-2", 9, 0, 0, 0);
+    EXPECT_STREQ(still.call.body, R"({"fenceToken":9,"lastSeen":0})");
+}
+
+TEST(Executor, Lists)
+{
+    Answered got(200, R"({"clockMs":7001,)"
+                      R"("active":[["fedcba9876543210.3.1.9",2,"m",41],["00000000000000aa.0.0.0",1,"",0]],)"
+                      R"("finished":[[4,"00000000000000aa.0.0.1",1,"done",""],)"
+                      R"([5,"00000000000000aa.0.0.2",1,"failed","x"],)"
+                      R"([6,"00000000000000aa.0.0.3",1,"stopped",""],[7,"00000000000000aa.0.0.4",1,"lapsed",""],)"
+                      R"([8,"00000000000000aa.0.0.5",1,"broken",""],[9,"00000000000000aa.0.0.6",1,"alone",""]]})");
+    ASSERT_EQ(got.problem, 0);
+    EXPECT_EQ(got.answer.clockMs, 7001);
+    EXPECT_EQ(got.answer.refusal, REFUSED_NOT);
+    ASSERT_EQ(got.answer.nActive, 2);
+    EXPECT_EQ(got.answer.active[0].job, topJob);
+    EXPECT_EQ(got.answer.active[0].task, task_of(3, 1, 9));
+    EXPECT_EQ(got.answer.active[0].attempt, 2);
+    EXPECT_EQ(got.answer.active[0].percent, 41);
+    EXPECT_STREQ(got.answer.active[0].saved, "m");
+    EXPECT_EQ(got.answer.active[1].saved, nullptr);
+    ASSERT_EQ(got.answer.nEnded, 6);
+    const int64_t hows[] = {END_DONE, END_FAILED, END_STOPPED, END_LAPSED, END_BROKEN, END_ALONE};
+    for (int i = 0; i < 6; i++) {
+        EXPECT_EQ(got.answer.ended[i].how, hows[i]);
+        EXPECT_EQ(got.answer.ended[i].seq, 4 + i);
+        EXPECT_EQ(got.answer.ended[i].task, task_of(0, 0, 1 + i));
+    }
+    EXPECT_STREQ(got.answer.ended[1].saved, "x");
+}
+
+TEST(Executor, ItemsThatCannotBeRead)
+{
+    Answered got(200, R"({"clockMs":1,"active":[7,[],["xyz",1,"",0],["00000000000000aa.0.0",1,"",0],)"
+                      R"(["00000000000000aa.0.0.1x",1,"",0],["00000000000000aa.0.256.1",1,"",0],)"
+                      R"(["00000000000000aa.0.0.16777216",1,"",0],)"
+                      R"(["00000000000000aa.99999999999999999999.0.1",1,"",0],)"
+                      R"(["00000000000000aa.0.0.1",0,"",0],["00000000000000aa.0.0.1","1","",0],)"
+                      R"(["00000000000000aa.0.0.2",1,null,"much"]],)"
+                      R"("finished":[[0,"00000000000000aa.0.0.1",1,"done",""],)"
+                      R"([1,"00000000000000aa.0.0.1",1,"odd","s"],)"
+                      R"({},[2,"00000000000000aa.0.0.1",1,"done"]]})");
+    ASSERT_EQ(got.problem, 0);
+    ASSERT_EQ(got.answer.nActive, 1);
+    EXPECT_EQ(got.answer.active[0].task, task_of(0, 0, 2));
+    EXPECT_EQ(got.answer.active[0].percent, 0);
+    ASSERT_EQ(got.answer.nEnded, 1);
+    EXPECT_EQ(got.answer.ended[0].seq, 2);
+}
+
+TEST(Executor, Refusals)
+{
+    const std::map<std::string, int> reasons = {
+        {"fence", REFUSED_EPOCH}, {"old", REFUSED_OLD}, {"late", REFUSED_LATE}, {"room", REFUSED_ROOM}};
+    for (const auto &[name, refusal] : reasons) {
+        Answered got(409, R"({"clockMs":31,"reason":")" + name + "\"}");
+        EXPECT_EQ(got.problem, 0);
+        EXPECT_EQ(got.answer.refusal, refusal);
+        EXPECT_EQ(got.answer.clockMs, 31);
+    }
+    EXPECT_NE(Answered(409, R"({"clockMs":31,"reason":"mood"})").problem, 0);
+    EXPECT_NE(Answered(409, "").problem, 0);
+    Answered other(421, "");
+    EXPECT_EQ(other.problem, 0);
+    EXPECT_EQ(other.answer.otherLife, 1);
+    EXPECT_EQ(other.answer.clockMs, -1);
+    EXPECT_EQ(Answered(400, "no").answer.refusal, REFUSED_BAD);
+    EXPECT_EQ(Answered(429, "").answer.refusal, REFUSED_SICK);
+    Answered sick(503, R"({"clockMs":6})");
+    EXPECT_EQ(sick.answer.refusal, REFUSED_SICK);
+    EXPECT_EQ(sick.answer.clockMs, 6);
+}
+
+TEST(Executor, BodiesThatCannotBeRead)
+{
+    for (const char *body : {"", "{", "[]", R"({"clockMs":1,"active":7})", R"({"clockMs":1,"finished":{}})"}) {
+        Answered got(200, body);
+        EXPECT_NE(got.problem, 0) << body;
+        EXPECT_EQ(got.answer.nActive + got.answer.nEnded, 0);
+    }
+    EXPECT_NE(Answered(500, "{}").problem, 0);
+    EXPECT_NE(Answered(307, "{}").problem, 0);
+}
--- /dev/null
+++ b/tests/platform/fuzz_test.cc
@@ -0,0 +1,159 @@
+// Valid bodies cut short or with bits flipped: no crash, and whatever is taken
+// holds to the same checks as what came in whole.
+#include "platform_test.h"
+
+#include <random>
+
+namespace {
+
+enum { ROUNDS = 4000 };
+
+std::string damaged(const std::string &whole, std::mt19937_64 &random)
+{
+    std::string text = whole;
+    if (random() % 3 == 0)
+        text.resize(random() % (text.size() + 1));
+    for (uint64_t n = random() % 4; n && !text.empty(); n--)
+        text[random() % text.size()] ^= (char)(1 << random() % 8);
+    if (random() % 4 == 0 && !text.empty()) {       // a piece twice, or out of its place
+        std::string piece = text.substr(random() % text.size(), random() % 40);
+        text.insert(random() % text.size(), piece);
+    }
+    return text;
+}
+
+struct Tally {
+    int taken = 0, refused = 0;
+};
+
+template <class Make, class Check>
+Tally fuzz(const char *whole, uint64_t seed, Make make, Check check)
+{
+    std::mt19937_64 random(seed);
+    Tally tally;
+    for (int i = 0; i < ROUNDS; i++) {
+        Read read(make(damaged(whole, random)));
+        if (read.problem) {
+            EXPECT_TRUE(read.empty()) << "round " << i;
+            EXPECT_EQ(read.flaw.problem, read.problem) << "round " << i;
+            tally.refused++;
+        } else {
+            check(read, i);
+            tally.taken++;
+        }
+    }
+    // a fuzz that only ever refuses, or only takes, tries nothing
+    EXPECT_GT(tally.taken, ROUNDS / 50);
+    EXPECT_GT(tally.refused, ROUNDS / 50);
+    return tally;
+}
+
+}  // namespace
+
+TEST(Fuzz, Jobs)
+{
+    fuzz(jobBody, 11, [](const std::string &body) { return job_request(body); },
+         [](const Read &read, int i) {
+             struct flaw flaw = {};
+             EXPECT_EQ(job_spec_check(&read.ask.spec, &flaw), 0) << "round " << i;
+             EXPECT_NE(read.ask.spec.text, nullptr);
+             EXPECT_EQ(read.ask.kind, ASK_JOB);
+         });
+}
+
+TEST(Fuzz, Configurations)
+{
+    fuzz(configBody, 12, [](const std::string &body) { return config_request(body); },
+         [](const Read &read, int i) {
+             struct flaw flaw = {};
+             EXPECT_EQ(config_check(&read.ask.config, &flaw), 0) << "round " << i;
+             EXPECT_GT(read.ask.config.raw.len, 0);
+         });
+}
+
+TEST(Fuzz, Beats)
+{
+    fuzz(beatBody, 13, [](const std::string &body) { return beat_request(body); },
+         [](const Read &read, int i) {
+             const executor_state &state = read.ask.beat.state;
+             EXPECT_TRUE(state.service && *state.service) << "round " << i;
+             EXPECT_STREQ(state.life, "i-19ab");
+             for (int64_t v : {state.cpuMilli, state.memoryMb, state.gpus, state.departureMs, state.warmupMs})
+                 EXPECT_GE(v, 0) << "round " << i;
+         });
+}
+
+TEST(Fuzz, Paths)
+{
+    std::mt19937_64 random(14);
+    for (int i = 0; i < ROUNDS; i++) {
+        static const char *const paths[] = {
+            "/mill/q7/00c0ffee12345678", "/sagehitch/configuration", "/why/00000000000000ff",
+            "/sagehitch/executors/i-19ab", "/sagehitch/readiness", "/mill/"};
+        static const char *const methods[] = {"GET", "POST", "PUT", "DELETE"};
+        std::string path = damaged(paths[random() % 6], random);
+        path.resize(strlen(path.c_str()));
+        Request request = {(entry)(random() % ENTRY_COUNT), methods[random() % 4], path, jobBody,
+                           {{"Host", damaged("mill.example:80", random).c_str()},
+                            {"If-Match", damaged("\"41\"", random).c_str()},
+                            {"Deadline-Ms", damaged("2500", random).c_str()}}};
+        Read read(request);
+        EXPECT_EQ(read.problem != 0, read.empty()) << path;
+        EXPECT_GE(read.ask.waitMs, 0);
+    }
+}
+
+TEST(Fuzz, ExecutorAnswers)
+{
+    const char *whole =
+        R"({"clockMs":7001,"reason":"room",)"
+        R"("active":[["fedcba9876543210.3.1.9",2,"m",41],["00000000000000aa.0.0.0",1,"",0]],)"
+        R"("finished":[[4,"00000000000000aa.0.0.1",1,"done",""],[5,"00000000000000aa.0.0.2",1,"failed","x"]]})";
+    std::mt19937_64 random(15);
+    int listed = 0;
+    for (int i = 0; i < ROUNDS; i++) {
+        static const int statuses[] = {200, 200, 200, 409, 421, 400, 429, 503, 500};
+        std::string body = damaged(whole, random);
+        executor_answer answer = {};
+        int problem = platformExecutor.read(&answer, statuses[random() % 9], body.data(), (int64_t)body.size());
+        if (problem) {
+            EXPECT_EQ(answer.nActive + answer.nEnded, 0) << "round " << i;
+        }
+        EXPECT_GE(answer.clockMs, -1);
+        for (int64_t k = 0; k < answer.nActive; k++)
+            EXPECT_GE(answer.active[k].attempt, 1);
+        for (int64_t k = 0; k < answer.nEnded; k++)
+            EXPECT_TRUE(answer.ended[k].seq > 0 && answer.ended[k].how >= END_DONE && answer.ended[k].how <= END_ALONE);
+        listed += answer.nActive + answer.nEnded > 0;
+        shape_free(&executorAnswerShape, &answer);
+    }
+    EXPECT_GT(listed, ROUNDS / 50);
+}
+
+TEST(Fuzz, Settings)
+{
+    const char *whole = "nodeName: a\nrole: b\nzone: c\nregion: d\nzones: {c: d}\nipAddress: 10.0.0.1\n"
+                        "internalPortRange: [7000, 7001]\nseedNodes: ['10.0.0.1:80']\ninitialStart: false\n"
+                        "countsAsLoss: true\nlimits: {cpuShare: 0.5, memoryMb: 99, maxFileDescriptors: 9}\n"
+                        "heartbeatIntervalMs: 1\nfaultTolerance: {machines: 1, zones: 0}\nbounds: {drainMs: 1, "
+                        "gracePeriodS: 1, holdMaxMs: 9000, stopTimeoutMs: 4, gangTimeoutMs: 5, cancel_ms: 6, "
+                        "early_ms: 7, status_s: 8, spreadFactor: 1.5, checkpointIntervalS: 2, restoreMs: 6}\n"
+                        "commands: invocation\napp: 10.0.0.1:81\n";
+    std::mt19937_64 random(16);
+    int taken = 0;
+    for (int i = 0; i < ROUNDS; i++) {
+        std::string text = damaged(whole, random);
+        platform_settings settings = {};
+        char *why = nullptr;
+        int problem = settings_read_text(&settings, text.data(), (int64_t)text.size(), &why);
+        EXPECT_EQ(problem != 0, why != nullptr) << "round " << i;
+        if (!problem) {
+            EXPECT_TRUE(settings.zone && settings.firstPort >= 1 && settings.lastPort >= settings.firstPort);
+            EXPECT_GE(settings.holdMaxMs, 0);
+            taken++;
+        }
+        free(why);
+        settings_free(&settings);
+    }
+    EXPECT_GT(taken, ROUNDS / 50);
+}
--- /dev/null
+++ b/tests/unit/agent_rig.h
@@ -0,0 +1,292 @@
+// An agent between a leader and an executor, all in one hand-moved clock.
+#ifndef SAGEHITCH_TESTS_AGENT_RIG_H
+#define SAGEHITCH_TESTS_AGENT_RIG_H
+#include "agent_executor.h"
+
+namespace agent_rig {
+
+// --- the world --------------------------------------------------------------
+
+enum Fate { CARRIED, LOST, ANSWER_LOST, LATE };
+
+struct Call {
+    std::string what, life, body, answer;
+    int64_t sentMs, waitMs, tag, carryAt, answerBy;
+    call_done *done;
+    void *arg;
+    Fate fate;
+    int status;
+    bool carried, poll;
+    int64_t seqThen;
+};
+
+struct Report {
+    struct agent_report r = {};
+    ~Report() { shape_free(&agentReportShape, &r); }
+};
+
+struct Rig : world {
+
+    struct world_calls table = {};
+    int64_t now = 1000, wall = 0;
+    Executor ex;
+    std::vector<Call> under;
+    std::shared_ptr<Report> last = std::make_shared<Report>();
+    std::vector<int64_t> reportsAt;
+    std::function<Fate(const Call &)> fate = [](const Call &) { return CARRIED; };
+    std::vector<std::string> sent;               // "what body" of every call
+    struct agent *a = nullptr;
+    bool grant = true, executorUp = true;
+    int64_t epoch = 3, lateMs = 700, answered = 0, lastStatus = 0, seen = 0;
+    int64_t grantedAt = 0;                       // true time of the newest report that was answered
+    std::string leaderLife;                      // as the leader knows it
+
+    static Rig *of(struct world *w) { return static_cast<Rig *>(w); }
+    static int64_t mono(struct world *w) { return of(w)->now; }
+    static int64_t wall_ms(struct world *w) { return of(w)->wall; }
+    static uint64_t random(struct world *) { return 4; }
+    static void note(struct world *, int, const char *) {}
+    static void answer(struct world *w, int64_t, int status, int64_t, const char *) { of(w)->lastStatus = status; }
+    static void send(struct world *w, uint64_t to, struct blob *frame, int)
+    {
+        Rig *rig = of(w);
+        struct frame f;
+        ASSERT_EQ(frame_parse(&f, frame->bytes.at, frame->bytes.len, (uint32_t)hash_text(CLUSTER)), 0);
+        if (f.kind != FRAME_REPORT)
+            return;
+        EXPECT_EQ((int64_t)to, LEADER);
+        auto next = std::make_shared<Report>();
+        ASSERT_EQ(shape_unpack(&agentReportShape, &next->r, f.body, f.len), 0);
+        rig->last = next;
+        rig->reportsAt.push_back(rig->now);
+    }
+    static void call_with(struct world *w, uint64_t to, const char *, const char *path, const char *header,
+                          const char *body, int64_t waitMs, call_done *done, void *arg, int64_t tag)
+    {
+        Rig *rig = of(w);
+        EXPECT_EQ((int64_t)to, EXECUTOR);
+        Call c = {};
+        c.what = path;
+        c.life = strchr(header, ' ') + 1;
+        c.body = body;
+        c.sentMs = rig->now;
+        c.waitMs = waitMs;
+        c.tag = tag;
+        c.done = done;
+        c.arg = arg;
+        c.fate = rig->fate(c);
+        c.carryAt = rig->now + (c.fate == LATE ? rig->lateMs : 1);
+        rig->sent.push_back(c.what + " " + c.body);
+        rig->under.push_back(c);
+    }
+
+    Rig() : world()
+    {
+        table.mono_ms = mono;
+        table.wall_ms = wall_ms;
+        table.random = random;
+        table.send = send;
+        table.call_with = call_with;
+        table.answer = answer;
+        table.note = note;
+        this->calls = &table;
+        self = SELF;
+        ex.life = "A";
+        begin();
+    }
+    ~Rig()
+    {
+        agent_free(a);
+    }
+    void begin()
+    {
+        static const int64_t seeds[] = {LEADER};
+        struct agent_setup setup = {};
+        setup.cluster = CLUSTER;
+        setup.zone = "z";
+        setup.seeds = seeds;
+        setup.nSeeds = 1;
+        setup.boot = 1;
+        setup.executor = EXECUTOR;
+        setup.holdMaxMs = HOLD_MAX;
+        setup.stopTimeoutMs = 400;
+        setup.graceMs = 6000;
+        setup.dialect = &doorDialect;
+        setup.executorDialect = &executorDialect;
+        a = agent_new(this, &setup);
+    }
+    // what it had called is carried out all the same
+    void restart()
+    {
+        for (Call &c : under)
+            c.done = nullptr;
+        agent_free(a);
+        begin();
+        last = std::make_shared<Report>();
+    }
+
+    void orders(const std::function<void(struct agent_orders &)> &fill = {})
+    {
+        struct agent_orders o = {};
+        o.epoch = epoch;
+        o.leaseMs = LEASE;
+        o.leader = LEADER;
+        o.life = (char *)(leaderLife.empty() ? nullptr : leaderLife.c_str());
+        o.seen = seen;
+        if (fill)
+            fill(o);
+        struct bytes out = {};
+        frame_build(&out, FRAME_ORDERS, (uint32_t)hash_text(CLUSTER), LEADER, &agentOrdersShape, &o);
+        agent_take(a, out.at, out.len);
+        bytes_free(&out);
+    }
+    void start(int64_t task, int64_t attempt)
+    {
+        struct run_start s = {1, task, attempt, (char *)"text", nullptr};
+        orders([&](struct agent_orders &o) { o.starts = &s, o.nStarts = 1; });
+    }
+    void stop(int64_t task, int64_t attempt)
+    {
+        struct run_ref r = {1, task, attempt};
+        orders([&](struct agent_orders &o) { o.stops = &r, o.nStops = 1; });
+    }
+    void ends_seen(int64_t task, int64_t attempt)
+    {
+        struct run_ref r = {1, task, attempt};
+        orders([&](struct agent_orders &o) { o.endsSeen = &r, o.nEndsSeen = 1; });
+    }
+    void beat(const std::string &life, int64_t seq, int64_t draining = 0, int64_t kind = BEAT_ALIVE,
+              const char *path = "beat")
+    {
+        std::string body = std::to_string(kind) + " " + life + " " + std::to_string(seq) + " " +
+                           std::to_string(draining);
+        struct web_ask web = {};
+        web.method = "PUT";
+        web.path = path;
+        web.body = body.c_str();
+        web.len = (int64_t)body.size();
+        agent_ask(a, 1, &web);
+    }
+
+    void carry_out(Call &c)
+    {
+        c.carried = true;
+        if (!executorUp || c.fate == LOST)
+            return;
+        if (c.life != ex.life) {
+            c.status = 421;
+            c.answer = ex.plain(0);
+        } else {
+            int64_t waits = 0;
+            c.status = 200;
+            c.seqThen = ex.seq;
+            c.answer = ex.carry_out(c.what, c.body, waits);
+            c.poll = waits > 0 && ex.ended.empty();
+            c.answerBy = now + waits;
+        }
+        if (c.fate != CARRIED)
+            c.status = 0;
+    }
+    void move_calls()
+    {
+        for (size_t i = 0; i < under.size(); i++)
+            if (!under[i].carried && now >= under[i].carryAt)
+                carry_out(under[i]);
+        for (size_t i = 0; i < under.size();) {
+            Call c = under[i];
+            bool ready = c.carried && c.status && (!c.poll || now >= c.answerBy || ex.seq > c.seqThen);
+            bool timedOut = now >= c.sentMs + c.waitMs;
+            if (c.done && (ready || timedOut)) {
+                under[i].done = nullptr;
+                if (ready && c.poll)
+                    c.answer = ex.lists(0);
+                int status = ready && executorUp ? c.status : 0;
+                c.done(c.arg, c.tag, status, status ? c.answer.c_str() : "", 0);
+                continue;
+            }
+            if (!c.done && c.carried)
+                under.erase(under.begin() + (long)i);
+            else
+                i++;
+        }
+    }
+    void run(int64_t ms)
+    {
+        for (int64_t i = 0; i < ms; i++) {
+            now++;
+            ex.tick(now);
+            move_calls();
+            if (now % 5 == 0)
+                agent_tick(a);
+            size_t before = reportsAt.size();
+            agent_flush(a);
+            if (grant && reportsAt.size() > before) {
+                leaderLife = last->r.present ? last->r.executor.life : "";
+                grantedAt = last->r.stampMs;
+                orders([&](struct agent_orders &o) { o.stampMs = last->r.stampMs; });
+            }
+            after();
+        }
+    }
+    std::function<void()> after = [] {};
+    // A life that is known, fenced and looked at, long after the process began.
+    void ready()
+    {
+        orders();
+        beat("A", 1);
+        run(100);
+        ASSERT_TRUE(last->r.ready);
+    }
+    void settled()
+    {
+        ready();
+        for (int i = 0; i < 15; i++) {       // beyond what an earlier process may have sent
+            run(1500);
+            beat("A", i + 2);
+        }
+    }
+
+    const struct agent_report &r() const { return last->r; }
+    bool is_active(int64_t task, int64_t attempt) const
+    {
+        for (int64_t i = 0; i < r().nActive; i++)
+            if (r().active[i].task == task && r().active[i].attempt == attempt)
+                return true;
+        return false;
+    }
+    bool is_pending(int64_t task) const
+    {
+        for (int64_t i = 0; i < r().nPending; i++)
+            if (r().pending[i].task == task)
+                return true;
+        return false;
+    }
+    int64_t refusal(int64_t task) const
+    {
+        for (int64_t i = 0; i < r().nRefused; i++)
+            if (r().refused[i].task == task)
+                return r().refused[i].reason;
+        return 0;
+    }
+    int64_t how_ended(int64_t task) const
+    {
+        for (int64_t i = 0; i < r().nEnded; i++)
+            if (r().ended[i].task == task)
+                return r().ended[i].how;
+        return 0;
+    }
+    bool lost(const std::string &life) const
+    {
+        for (int64_t i = 0; i < r().nLostLives; i++)
+            if (life == r().lostLives[i])
+                return true;
+        return false;
+    }
+    int64_t times(const std::string &what) const
+    {
+        return std::count_if(sent.begin(), sent.end(), [&](const std::string &s) { return s.rfind(what, 0) == 0; });
+    }
+};
+
+}  // namespace agent_rig
+#endif
--- /dev/null
+++ b/tests/unit/job_spec_test.cc
@@ -0,0 +1,105 @@
+// Checks of jobs and configurations as they are handed in, and the routes to queues.
+#include <gtest/gtest.h>
+
+#include "record_build.h"
+
+using namespace record_build;
+
+namespace {
+
+int checked(const Spec &spec, void (*change)(job_spec *) = nullptr)
+{
+    job_spec s = spec_of(1, spec);
+    flaw flaw = {};
+    if (change)
+        change(&s);
+    int rc = job_spec_check(&s, &flaw);
+    EXPECT_EQ(rc, flaw.problem);
+    shape_free(&jobSpecShape, &s);
+    return rc;
+}
+
+TEST(JobSpec, IsChecked)
+{
+    EXPECT_EQ(checked(two), 0);
+    EXPECT_EQ(checked({{}, 0}), P_BAD_FIELD);
+    EXPECT_EQ(checked({std::vector<Step>(65, Step{1, {}}), 0}), P_BAD_FIELD);
+    EXPECT_EQ(checked({std::vector<Step>(64, Step{1, {}}), 0}), 0);
+    EXPECT_EQ(checked({{{0, {}}}, 0}), P_BAD_FIELD);
+    EXPECT_EQ(checked({{{20000, {}}}, 0}), 0);
+    EXPECT_EQ(checked({{{20001, {}}}, 0}), P_TOO_LARGE);
+    EXPECT_EQ(checked({{{INT64_MAX, {}}, {INT64_MAX, {}}}, 0}), P_TOO_LARGE);
+    EXPECT_EQ(checked({{{2, {}}}, 10000}), 0);
+    EXPECT_EQ(checked({{{3, {}}}, 10000}), P_TOO_LARGE);
+    EXPECT_EQ(checked({{{1, {}}}, 10001}), P_BAD_FIELD);
+    EXPECT_EQ(checked({{{1, {}}}, -1}), P_BAD_FIELD);
+    EXPECT_EQ(checked({{{1, {0}}}, 0}), P_BAD_STEPS);
+    EXPECT_EQ(checked({{{1, {}}, {1, {-1}}}, 0}), P_BAD_STEPS);
+    EXPECT_EQ(checked({{{1, {}}, {1, {0}}}, 0}), 0);
+    EXPECT_EQ(checked(two, [](job_spec *s) { s->steps[0].cpuMilli = -1; }), P_BAD_FIELD);
+    EXPECT_EQ(checked(two, [](job_spec *s) { s->steps[1].perExecutor = -1; }), P_BAD_FIELD);
+    EXPECT_EQ(checked(two, [](job_spec *s) { s->intervalMs = -1; }), P_BAD_FIELD);
+    EXPECT_EQ(checked(two, [](job_spec *s) { s->repeats = 3, s->intervalMs = INT64_MAX / 2; }), P_BAD_FIELD);
+    EXPECT_EQ(checked(two, [](job_spec *s) { free(s->text), s->text = dup(std::string(SPEC_MAX, 'x')); }), 0);
+    EXPECT_EQ(checked(two, [](job_spec *s) { free(s->text), s->text = dup(std::string(SPEC_MAX + 1, 'x')); }),
+              P_TOO_LARGE);
+}
+
+int checked(void (*change)(config *))
+{
+    config c = config_of(1, {{"a", 0}, {"b", 2}}, "raw");
+    flaw flaw = {};
+    change(&c);
+    int rc = config_check(&c, &flaw);
+    EXPECT_EQ(rc, flaw.problem);
+    shape_free(&configShape, &c);
+    return rc;
+}
+
+void set(char **to, const char *text)
+{
+    free(*to);
+    *to = must_dup(text);
+}
+
+TEST(Config, IsChecked)
+{
+    EXPECT_EQ(checked([](config *) {}), 0);
+    EXPECT_EQ(checked([](config *c) { c->version = 0; }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[0].name, nullptr); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[0].host, ""); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[0].prefix, "x"); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[1].service, "none"); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { c->queues[1].timeoutMs = 0; }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { c->queues[1].attemptsMax = -1; }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { c->queues[1].stretchPct = -1; }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[1].name, "a"); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) { set(&c->queues[1].prefix, "/a/"); }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) {
+                  set(&c->queues[1].prefix, "/a/");
+                  set(&c->queues[1].host, "HOST.example");
+              }), P_BAD_FIELD);
+    EXPECT_EQ(checked([](config *c) {
+                  set(&c->queues[1].prefix, "/a/");
+                  set(&c->queues[1].host, "other.example");
+              }), 0);
+    EXPECT_EQ(checked([](config *c) {
+                  set(&more_of(c->services, c->nServices).name, "work");
+              }), P_BAD_FIELD);
+}
+
+TEST(Config, RoutesByHostAndLongestPrefix)
+{
+    config c = config_of(1, {{"a", 0}, {"a/b", 0}, {"c", 0}}, "raw");
+    set(&c.queues[2].prefix, "/a/b/c/");
+    set(&c.queues[2].host, "other.example");
+    EXPECT_EQ(config_route(&c, "Host.Example", "/a/x"), 0);
+    EXPECT_EQ(config_route(&c, "host.example", "/a/b/c/"), 1);
+    EXPECT_EQ(config_route(&c, "other.example", "/a/b/c/1"), 2);
+    EXPECT_EQ(config_route(&c, "host.example", "/a"), -1);
+    EXPECT_EQ(config_route(&c, "none.example", "/a/"), -1);
+    EXPECT_EQ(config_route(&c, nullptr, "/a/"), -1);
+    shape_free(&configShape, &c);
+}
+
+}  // namespace
