--- /dev/null
+++ b/tests/unit/plan_random_test.cc
@@ -0,0 +1,242 @@
+// Placing on random records and seats: what must hold of every round, and of victims.
+#include "plan_site.h"
+
+namespace {
+
+struct Random {
+    std::mt19937 g;
+    explicit Random(unsigned seed) : g(seed) {}
+    int64_t below(int64_t n) { return (int64_t)(g() % (uint64_t)n); }
+    bool one_in(int64_t n) { return below(n) == 0; }
+};
+
+void build(Site &t, Random &random, bool old)
+{
+    static const char *const racks[] = {"r0", "r1", "r2"};
+    t.most = random.one_in(4) ? 1 + random.below(20) : 300;
+    for (int64_t i = 0, n = 1 + random.below(12); i < n; i++) {
+        int64_t no = t.seat_add(1000 * (1 + random.below(8)), racks[random.below(3)], random.one_in(4) ? "other" : "s",
+                                random.one_in(3) ? "big" : nullptr, random.one_in(4) ? 4 : 0);
+        seat &s = t.seats[(size_t)no];
+        s.open = !random.one_in(8);
+        s.slowPct = random.one_in(4) ? 250 : 100;
+        s.failures = random.one_in(4) ? random.below(5) : 0;
+        if (random.one_in(10))
+            s.departsMs = 5000 + random.below(4000);
+    }
+    for (int64_t i = 0; i < 3; i++)
+        t.queue(i);
+    t.queue(1, 1000000, "other");
+    t.queue(0, 1000000, "nowhere");
+    for (int64_t i = 0, n = 1 + random.below(20); i < n; i++) {
+        std::vector<step_spec> steps;
+        int64_t nSteps = 1 + random.below(3), repeats = random.one_in(4) ? 1 + random.below(4) : 0;
+        for (int64_t k = 0; k < nSteps; k++) {
+            step_spec s = Site::step(1 + random.below(6), 250 * random.below(12), 500 * random.below(10));
+            s.memoryMb = 250 * random.below(12);
+            s.gang = random.one_in(4), s.sameRack = s.gang && random.one_in(2);
+            s.checkpoints = random.one_in(3), s.lasting = random.one_in(8);
+            s.perExecutor = random.one_in(4) ? 1 + random.below(2) : 0;
+            s.gpus = random.one_in(8) ? 1 + random.below(2) : 0;
+            if (random.one_in(4))
+                s.label = must_dup("big");
+            if (random.one_in(4))
+                s.rack = must_dup(racks[random.below(3)]);
+            if (k && random.one_in(2)) {
+                s.dependsOn = static_cast<int64_t *>(must_alloc(sizeof(int64_t)));
+                s.dependsOn[0] = random.below(k), s.nDependsOn = 1;
+            }
+            steps.push_back(s);
+        }
+        int64_t accepted = old ? WALL - random.below(20000) : WALL - random.below(900);
+        job *j = t.add(random.below(5), steps, accepted, repeats, WALL - 2000 + random.below(4000), random.below(2000));
+        for (int64_t no = 0; no < j->times * j->tasks; no++) {
+            int64_t time, step, index;
+            job_place(j, no, &time, &step, &index);
+            j->rows[no].attempt = (int32_t)random.below(3);
+            if (random.one_in(3) && !j->spec.steps[step].gang && job_step_begins(j, time, step))
+                t.move(j, no, ROW_DONE);
+            else if (random.one_in(10))
+                t.busy.insert({j, no});
+        }
+        if (random.one_in(12))
+            j->state = JOB_CANCELLED;
+    }
+}
+
+bool holds(const seat &s, const step_spec &k, bool total)
+{
+    bool labelled = !k.label;
+    for (int64_t i = 0; i < s.nLabels; i++)
+        labelled |= !strcmp(s.labels[i], k.label ? k.label : "");
+    return labelled && s.open && k.cpuMilli <= (total ? s.cpuMilli : s.cpuFree) &&
+           k.memoryMb <= (total ? s.memoryMb : s.memoryFree) && k.gpus <= (total ? s.gpus : s.gpusFree);
+}
+
+// Every placement on its own, and all of them together against the seats as they were.
+void check_round(Site &t, const std::vector<seat> &before)
+{
+    std::set<std::pair<job *, int64_t>> seen;
+    std::map<std::tuple<job *, int64_t, int64_t>, std::vector<const placement *>> groups;
+    std::vector<seat> after = before;
+    for (int64_t i = 0; i < t.p.n; i++) {
+        const placement *at = &t.p.places[i];
+        job *j = at->job;
+        int64_t time, step, index;
+        job_place(j, at->no, &time, &step, &index);
+        ASSERT_EQ(time, at->time);
+        ASSERT_EQ(step, at->step);
+        const step_spec &k = j->spec.steps[step];
+        EXPECT_FALSE(job_over(j)) << "a job that is over";
+        EXPECT_TRUE(seen.insert({j, at->no}).second) << "a row twice";
+        EXPECT_EQ(j->rows[at->no].state, ROW_WAITING);
+        EXPECT_FALSE(t.busy.count({j, at->no})) << "a row spoken for";
+        EXPECT_GT(at->attempt, j->rows[at->no].attempt);
+        EXPECT_LE(job_due_ms(j, time), t.wallMs + EARLY) << "before its time";
+        for (int64_t d = 0; d < k.nDependsOn; d++)
+            for (int64_t n = 0; n < j->spec.steps[k.dependsOn[d]].taskCount; n++)
+                EXPECT_EQ(j->rows[time * j->tasks + j->first[k.dependsOn[d]] + n].state, ROW_DONE) << "order";
+        seat &s = after[(size_t)at->seat];
+        EXPECT_STREQ(s.service, t.r.queues[j->queue].config.service);
+        EXPECT_TRUE(holds(s, k, true)) << "label, open or size";
+        s.cpuFree -= k.cpuMilli, s.memoryFree -= k.memoryMb, s.gpusFree -= k.gpus;
+        groups[{j, time, step}].push_back(at);
+    }
+    for (size_t i = 0; i < after.size(); i++) {
+        EXPECT_GE(after[i].cpuFree, 0) << "seat " << i;
+        EXPECT_GE(after[i].memoryFree, 0) << "seat " << i;
+        EXPECT_GE(after[i].gpusFree, 0) << "seat " << i;
+        EXPECT_EQ(after[i].cpuFree, t.seats[i].cpuFree) << "room not taken, or taken and not given";
+        EXPECT_EQ(after[i].memoryFree, t.seats[i].memoryFree);
+        EXPECT_EQ(after[i].gpusFree, t.seats[i].gpusFree);
+    }
+    for (auto &[key, places] : groups) {
+        auto [j, time, step] = key;
+        const step_spec &k = j->spec.steps[step];
+        if (k.gang) {
+            EXPECT_EQ((int64_t)places.size(), k.taskCount) << "a gang in part";
+            for (const placement *at : places)
+                EXPECT_EQ(at->attempt, places[0]->attempt);
+        }
+        std::map<int64_t, int64_t> used;
+        for (int64_t n = 0; n < k.taskCount; n++) {
+            const row &w = j->rows[time * j->tasks + j->first[step] + n];
+            if (w.state == ROW_PLACED)
+                used[w.life]++;
+        }
+        for (const placement *at : places)
+            EXPECT_TRUE(++used[t.seats[(size_t)at->seat].lifeNo] <= k.perExecutor || !k.perExecutor)
+                << "too many on one";
+    }
+    EXPECT_TRUE(t.p.n <= t.most || groups.size() == 1) << "more than was asked for";
+}
+
+// Nothing that would fit was left out. Holds only where no room is held for others.
+void check_nothing_left(Site &t)
+{
+    std::set<std::pair<job *, int64_t>> placed;
+    for (int64_t i = 0; i < t.p.n; i++)
+        placed.insert({t.p.places[i].job, t.p.places[i].no});
+    int64_t left = 0;
+    for (job *j = t.r.oldest; j; j = j->next) {
+        for (int64_t no = 0; no < j->times * j->tasks && !job_over(j); no++) {
+            int64_t time, step, index;
+            job_place(j, no, &time, &step, &index);
+            const step_spec &k = j->spec.steps[step];
+            if (j->rows[no].state != ROW_WAITING || placed.count({j, no}) || t.busy.count({j, no}) || k.gang ||
+                k.perExecutor || !job_step_begins(j, time, step) || job_due_ms(j, time) > t.wallMs)
+                continue;
+            left++;
+            for (const seat &s : t.seats) {
+                bool stays = s.departsMs == INT64_MAX;
+                bool other = strcmp(s.service, t.r.queues[j->queue].config.service) != 0;
+                EXPECT_FALSE(stays && !other && holds(s, k, false))
+                    << "row " << no << " of job " << j->spec.id << " would fit";
+            }
+        }
+    }
+    EXPECT_GE(t.p.blocked, left);
+}
+
+TEST(PlanRandom, EveryRoundKeepsTheRules)
+{
+    for (unsigned seed = 0; seed < 600 && !testing::Test::HasFailure(); seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Site t;
+        Random random(seed);
+        bool old = seed % 2;
+        build(t, random, old);
+        for (int k = 0; k < 4; k++) {
+            std::vector<seat> before = t.seats;
+            t.round();
+            check_round(t, before);
+            if (!old && t.p.n + 6 <= t.most)    // else a gang of up to six may have ended the round
+                check_nothing_left(t);
+            t.commit();
+            for (job *j = t.r.oldest; j; j = j->next)
+                for (int64_t no = 0; no < j->times * j->tasks; no++)
+                    if (j->rows[no].state == ROW_PLACED && random.one_in(4))
+                        t.move(j, no, random.one_in(3) ? ROW_WAITING : ROW_DONE);
+        }
+        t.drop();
+    }
+}
+
+TEST(PlanRandom, VictimsAreLessUrgentAndMakeRoom)
+{
+    int64_t named = 0;
+    for (unsigned seed = 0; seed < 600 && !testing::Test::HasFailure(); seed++) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Site t;
+        Random random(seed);
+        build(t, random, false);
+        t.busy.clear();
+        for (job *j = t.r.oldest; j; j = j->next)
+            if (j->queue == 0)
+                t.r.queues[0].config.priority = 2;
+        t.most = 300;
+        t.round();
+        t.commit();
+        int64_t urgent = t.queue(0);
+        step_spec s = Site::step(1, 1000);
+        s.gang = random.one_in(3), s.taskCount = s.gang ? 3 : 1 + random.below(2);
+        job *j = t.add(urgent, {s});
+        t.wallMs += 100;
+        t.round();
+        t.commit();
+        int64_t without = t.placed_of(j), most = 1 + random.below(30);
+        std::vector<victim> v = t.victims(most);
+        std::set<std::pair<job *, int64_t>> seen;
+        EXPECT_LE((int64_t)v.size(), most);
+        int64_t least = INT64_MAX;
+        for (const victim &x : v) {
+            int64_t time, step, index;
+            EXPECT_TRUE(seen.insert({x.job, x.no}).second);
+            EXPECT_EQ(x.job->rows[x.no].state, ROW_PLACED);
+            EXPECT_FALSE(job_over(x.job));
+            least = std::min(least, t.r.queues[x.job->queue].config.priority);
+            job_place(x.job, x.no, &time, &step, &index);
+            for (int64_t n = 0; x.job->spec.steps[step].gang && n < x.job->spec.steps[step].taskCount; n++)
+                EXPECT_TRUE(std::count_if(v.begin(), v.end(), [&](const victim &y) {
+                    return y.job == x.job && y.no == x.no - index + n;
+                })) << "a gang in part";
+        }
+        if (v.empty()) {
+            t.drop();
+            continue;
+        }
+        EXPECT_GT(least, 0);
+        named++;
+        for (const victim &x : v)
+            t.move(x.job, x.no, ROW_WAITING);
+        t.round();
+        int64_t helped = 0;
+        for (int64_t i = 0; i < t.p.n; i++)
+            helped += t.r.queues[t.p.places[i].job->queue].config.priority < least;
+        EXPECT_GT(helped, 0) << "stopped for nothing; before " << without;
+        t.drop();
+    }
+    EXPECT_GT(named, 50);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/record_build.h
@@ -0,0 +1,152 @@
+// Jobs, configurations and batches of ops for tests of the record, all owned.
+#ifndef SAGEHITCH_TESTS_RECORD_BUILD_H
+#define SAGEHITCH_TESTS_RECORD_BUILD_H
+#include <algorithm>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "base/problem.h"
+#include "dispatch/record.h"
+}
+
+namespace record_build {
+
+// Steps of a job in short.
+struct Step {
+    int64_t tasks;
+    std::vector<int64_t> after;
+    bool gang = false, lasting = false;
+};
+struct Spec {
+    std::vector<Step> steps;
+    int64_t repeats = 0;
+};
+const Spec two = {{{2, {}}, {1, {0}}}, 0};
+const Spec gang = {{{3, {}, true}, {1, {0}}}, 0};
+
+// list_more() of C, for lists that shapes own.
+template <class T> T &more_of(T *&items, int64_t &n)
+{
+    items = (T *)must_grow(items, sizeof(T) * (size_t)(n + 1));
+    return items[n++] = T{};
+}
+
+inline char *dup(const std::string &text) { return must_dup(text.c_str()); }
+
+inline job_spec spec_of(int64_t id, const Spec &from, const std::string &text = "text")
+{
+    job_spec spec = {};
+    spec.id = id;
+    spec.text = dup(text);
+    spec.repeats = from.repeats;
+    spec.startMs = from.repeats ? 5000 : 0;
+    spec.intervalMs = from.repeats ? 100 : 0;
+    spec.nSteps = (int64_t)from.steps.size();
+    spec.steps = (step_spec *)must_alloc(sizeof(step_spec) * from.steps.size());
+    for (size_t s = 0; s < from.steps.size(); s++) {
+        step_spec &step = spec.steps[s];
+        step.taskCount = from.steps[s].tasks;
+        step.cpuMilli = 100;
+        step.gang = from.steps[s].gang;
+        step.lasting = from.steps[s].lasting;
+        step.nDependsOn = (int64_t)from.steps[s].after.size();
+        if (step.nDependsOn)
+            step.dependsOn = (int64_t *)must_alloc(sizeof(int64_t) * from.steps[s].after.size());
+        std::copy(from.steps[s].after.begin(), from.steps[s].after.end(), step.dependsOn);
+    }
+    return spec;
+}
+
+struct Queue {
+    std::string name;
+    int64_t attemptsMax;
+};
+
+inline config config_of(int64_t version, const std::vector<Queue> &queues, const std::string &raw)
+{
+    config made = {};
+    made.version = version;
+    made.nServices = 1;
+    made.services = (service_config *)must_alloc(sizeof(service_config));
+    made.services[0].name = dup("work");
+    made.nQueues = (int64_t)queues.size();
+    made.queues = (queue_config *)must_alloc(sizeof(queue_config) * queues.size());
+    for (size_t i = 0; i < queues.size(); i++) {
+        queue_config &q = made.queues[i];
+        q.name = dup(queues[i].name);
+        q.host = dup("host.example");
+        q.prefix = dup("/" + queues[i].name + "/");
+        q.service = dup("work");
+        q.attemptsMax = queues[i].attemptsMax;
+        q.timeoutMs = 1000;
+    }
+    bytes_add(&made.raw, raw.data(), (int64_t)raw.size());
+    return made;
+}
+
+struct End {
+    int64_t job, task, attempt, how;
+    std::string saved;
+};
+
+// Ops of one batch; what is taken from it by apply is freed with it.
+struct Batch {
+    record_batch batch = {};
+    ~Batch() { shape_free(&recordBatchShape, &batch); }
+    record_op &more(int64_t kind, int64_t atMs)
+    {
+        record_op &op = more_of(batch.ops, batch.n);
+        op.kind = kind;
+        op.atMs = atMs;
+        return op;
+    }
+    void conf(int64_t atMs, int64_t base, int64_t version, const std::vector<Queue> &queues, const std::string &raw)
+    {
+        record_op &op = more(OP_CONFIG, atMs);
+        op.base = base;
+        op.config = config_of(version, queues, raw);
+    }
+    void job(int64_t atMs, int64_t id, const Spec &spec, const std::string &queue, const std::string &text = "text")
+    {
+        record_op &op = more(OP_JOB, atMs);
+        op.spec = spec_of(id, spec, text);
+        op.queue = dup(queue);
+    }
+    void cancel(int64_t atMs, int64_t id) { more(OP_CANCEL, atMs).job = id; }
+    void place(int64_t atMs, const std::string &life, int64_t agent, const std::vector<run_ref> &runs)
+    {
+        record_op &op = more(OP_PLACE, atMs);
+        op.life = dup(life);
+        op.agent = agent;
+        for (const run_ref &run : runs)
+            more_of(op.runs, op.nRuns) = run;
+    }
+    void end(int64_t atMs, const std::vector<End> &ends)
+    {
+        record_op &op = more(OP_END, atMs);
+        for (const End &end : ends) {
+            run_ended &to = more_of(op.ended, op.nEnded);
+            to.job = end.job, to.task = end.task, to.attempt = end.attempt, to.how = end.how;
+            to.saved = end.saved.empty() ? nullptr : dup(end.saved);
+        }
+    }
+    void forget(int64_t atMs, const std::vector<int64_t> &ids)
+    {
+        record_op &op = more(OP_FORGET, atMs);
+        for (int64_t id : ids)
+            more_of(op.jobs, op.nJobs) = id;
+    }
+};
+
+inline std::string digest_of(const record *r)
+{
+    bytes to = {};
+    record_digest(r, &to);
+    std::string text((const char *)to.at, (size_t)to.len);
+    bytes_free(&to);
+    return text;
+}
+
+}  // namespace record_build
+#endif
--- /dev/null
+++ b/tests/unit/record_test.cc
@@ -0,0 +1,277 @@
+// The record of jobs: single rules of its ops.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "record_build.h"
+
+using namespace record_build;
+
+namespace {
+
+struct Record : testing::Test {
+    struct record r = {};
+    std::vector<std::pair<int64_t, int64_t>> told;   // job, row
+    int64_t now = 1000;
+
+    static void hear(void *arg, struct job *job, int64_t no)
+    {
+        ((Record *)arg)->told.emplace_back(job->spec.id, no);
+    }
+    void SetUp() override
+    {
+        record_start(&r);
+        r.changed = hear;
+        r.arg = this;
+        ASSERT_EQ(config(0, 3, {{"a", 2}, {"b", 0}}, "three"), 0);
+    }
+    void TearDown() override { record_end(&r); }
+
+    template <class F> int with(F fill)
+    {
+        Batch b;
+        fill(b);
+        return record_apply(&r, &b.batch.ops[0]);
+    }
+    int config(int64_t base, int64_t version, const std::vector<Queue> &queues, const std::string &raw)
+    {
+        return with([&](Batch &b) { b.conf(now, base, version, queues, raw); });
+    }
+    int add(int64_t id, const Spec &spec, const std::string &queue = "a", const std::string &text = "text")
+    {
+        return with([&](Batch &b) { b.job(now, id, spec, queue, text); });
+    }
+    int cancel(int64_t id) { return with([&](Batch &b) { b.cancel(now, id); }); }
+    int place(const std::vector<run_ref> &runs, const std::string &life = "life-1")
+    {
+        return with([&](Batch &b) { b.place(now, life, 7, runs); });
+    }
+    int end(const std::vector<End> &ends) { return with([&](Batch &b) { b.end(now, ends); }); }
+    int forget(int64_t id) { return with([&](Batch &b) { b.forget(now, {id}); }); }
+    struct job *job(int64_t id) { return record_job(&r, id); }
+    bool told_of(int64_t id, int64_t no)
+    {
+        return std::find(told.begin(), told.end(), std::make_pair(id, no)) != told.end();
+    }
+};
+
+TEST_F(Record, ConfigIsTakenOnceAndOnItsBase)
+{
+    EXPECT_EQ(config(0, 3, {{"a", 2}, {"b", 0}}, "three"), 0);          // sent again
+    EXPECT_EQ(config(0, 3, {{"a", 2}}, "other"), P_STALE);
+    EXPECT_EQ(config(0, 5, {{"a", 2}}, "five"), P_STALE);
+    EXPECT_EQ(config(3, 2, {{"a", 2}}, "two"), P_STALE);
+    EXPECT_EQ(add(1, two, "b"), 0);
+    EXPECT_EQ(config(3, 5, {{"c", 1}, {"a", 4}}, "five"), 0);
+    EXPECT_EQ(r.nQueues, 3);
+    EXPECT_EQ(r.queues[0].config.attemptsMax, 4);
+    EXPECT_TRUE(r.queues[1].removed);
+    EXPECT_STREQ(r.queues[1].config.name, "b");
+    EXPECT_EQ(r.queues[1].live, 1);
+    EXPECT_EQ(add(2, two, "b"), P_NO_SUCH);
+    EXPECT_EQ(add(1, two, "b"), 0);                                      // sent again, its queue gone since
+    EXPECT_EQ(config(5, 6, {{"b", 1}}, "six"), 0);
+    EXPECT_FALSE(r.queues[1].removed);
+    EXPECT_TRUE(r.queues[0].removed);
+    EXPECT_EQ(add(2, two, "b"), 0);
+}
+
+TEST_F(Record, JobSentAgainIsOneJob)
+{
+    EXPECT_EQ(add(-5, two), 0);
+    EXPECT_EQ(add(-5, two), 0);
+    EXPECT_EQ(r.nJobs, 1);
+    EXPECT_EQ(add(-5, two, "a", "other"), P_KEY_TAKEN);
+    EXPECT_EQ(add(-5, two, "b"), P_KEY_TAKEN);
+    EXPECT_EQ(add(-5, gang), P_KEY_TAKEN);
+    EXPECT_EQ(add(6, two, "x"), P_NO_SUCH);
+    EXPECT_EQ(cancel(-5), 0);
+    EXPECT_EQ(job(-5)->rows, nullptr);
+    EXPECT_EQ(add(-5, two), 0);
+    EXPECT_EQ(add(-5, gang), P_KEY_TAKEN);
+    EXPECT_EQ(job(-5)->state, JOB_CANCELLED);
+    EXPECT_EQ(forget(-5), 0);
+    EXPECT_EQ(cancel(-5), P_GONE);
+    EXPECT_EQ(forget(-5), P_GONE);
+}
+
+TEST_F(Record, StepsWaitAndTheJobIsDone)
+{
+    add(1, two);
+    EXPECT_EQ(place({{1, task_of(0, 1, 0), 1}}), P_STALE);
+    EXPECT_EQ(job(1)->state, JOB_PENDING);
+    EXPECT_EQ(place({{1, 0, 1}, {1, 1, 1}, {1, 2, 1}, {9, 0, 1}, {1, task_of(1, 0, 0), 1}, {1, 0, 2}}), 0);
+    EXPECT_EQ(job(1)->state, JOB_ACTIVE);
+    EXPECT_EQ(r.lives[0].placed, 2);
+    EXPECT_EQ(end({{1, 0, 2, END_DONE, ""}}), P_STALE);
+    EXPECT_EQ(end({{1, 0, 1, END_DONE, ""}, {1, 0, 1, END_DONE, ""}, {1, 1, 1, END_STOPPED, "half"}}), 0);
+    EXPECT_EQ(end({{1, 0, 1, END_DONE, ""}}), P_STALE);
+    EXPECT_STREQ(job(1)->rows[1].saved, "half");
+    EXPECT_EQ(job(1)->nDone, 1);
+    EXPECT_EQ(job(1)->waiting[0], 1);
+    now = 2000;
+    EXPECT_EQ(end({{1, 1, 1, END_DONE, ""}}), 0);                        // it was done after all
+    EXPECT_TRUE(job_step_begins(job(1), 0, 1));
+    EXPECT_EQ(place({{1, task_of(0, 1, 0), 1}}), 0);
+    told.clear();
+    EXPECT_EQ(end({{1, task_of(0, 1, 0), 1, END_DONE, ""}}), 0);
+    EXPECT_EQ(job(1)->state, JOB_DONE);
+    EXPECT_EQ(job(1)->endedMs, 2000);
+    EXPECT_EQ(job(1)->rows, nullptr);
+    EXPECT_EQ(r.oldest, nullptr);
+    EXPECT_EQ(r.nLive, 0);
+    EXPECT_EQ(r.lives[0].placed, 0);
+    EXPECT_EQ(told, (std::vector<std::pair<int64_t, int64_t>>{{1, 2}, {1, -1}}));
+}
+
+TEST_F(Record, OneEndAsDoneCountsForTheGang)
+{
+    add(1, gang);
+    EXPECT_EQ(place({{1, 0, 1}, {1, 1, 1}, {1, 2, 0}}), P_STALE);        // all of it or none
+    EXPECT_EQ(place({{1, 0, 1}, {1, 1, 1}, {1, 1, 1}, {1, 2, 1}}), P_STALE);
+    EXPECT_EQ(job(1)->nPlaced, 0);
+    EXPECT_EQ(place({{1, 0, 1}, {1, 1, 1}, {1, 2, 1}}), 0);
+    EXPECT_EQ(end({{1, 2, 1, END_BROKEN, ""}}), 0);
+    told.clear();
+    EXPECT_EQ(end({{1, 1, 1, END_DONE, ""}}), 0);
+    EXPECT_EQ(job(1)->nDone, 3);
+    EXPECT_EQ(job(1)->nPlaced, 0);
+    EXPECT_EQ(r.lives[0].placed, 0);
+    EXPECT_EQ(told.size(), 3u);
+    EXPECT_TRUE(job_step_begins(job(1), 0, 1));
+    EXPECT_EQ(end({{1, 0, 1, END_FAILED, ""}}), P_STALE);
+}
+
+TEST_F(Record, GangFailsOnceAnAttempt)
+{
+    add(1, gang);
+    place({{1, 0, 1}, {1, 1, 1}, {1, 2, 1}});
+    EXPECT_EQ(end({{1, 0, 1, END_FAILED, "s1"}, {1, 1, 1, END_FAILED, ""}}), 0);
+    for (int no = 0; no < 3; no++) {
+        EXPECT_EQ(job(1)->rows[no].failures, 1);
+        EXPECT_STREQ(job(1)->rows[no].saved, "s1");
+    }
+    EXPECT_EQ(job(1)->rows[2].state, ROW_PLACED);
+    EXPECT_EQ(job(1)->rows[3].failures, 0);
+    EXPECT_EQ(end({{1, 2, 1, END_BROKEN, "s2"}}), 0);
+    EXPECT_STREQ(job(1)->rows[0].saved, "s2");
+    place({{1, 0, 2}, {1, 1, 2}, {1, 2, 2}});
+    told.clear();
+    now = 3000;
+    EXPECT_EQ(end({{1, 1, 2, END_FAILED, ""}}), 0);
+    EXPECT_EQ(job(1)->state, JOB_FAILED);
+    EXPECT_EQ(job(1)->endedMs, 3000);
+    EXPECT_TRUE(told_of(1, -1));
+    EXPECT_EQ(job(1)->rows[1].state, ROW_FAILED);
+    EXPECT_EQ(r.lives[0].placed, 2);                                     // these are there still
+    EXPECT_EQ(r.nLive, 1);
+    EXPECT_EQ(forget(1), P_GONE);
+    EXPECT_EQ(end({{1, 0, 2, END_DONE, ""}}), 0);
+    EXPECT_EQ(job(1)->nDone, 0);
+    EXPECT_EQ(end({{1, 2, 2, END_FAILED, ""}}), 0);
+    EXPECT_EQ(job(1)->rows, nullptr);
+    EXPECT_EQ(r.nLive, 0);
+    EXPECT_EQ(job(1)->endedMs, 3000);
+}
+
+TEST_F(Record, CancelKeepsWhatIsPlaced)
+{
+    add(1, two);
+    add(2, two);
+    place({{1, 0, 1}});
+    EXPECT_EQ(cancel(1), 0);
+    EXPECT_TRUE(job_over(job(1)));
+    EXPECT_EQ(r.oldest, job(1));
+    EXPECT_EQ(r.lives[0].placed, 1);
+    EXPECT_EQ(place({{1, 1, 1}}), P_STALE);
+    EXPECT_EQ(cancel(1), 0);
+    told.clear();
+    EXPECT_EQ(end({{1, 0, 1, END_STOPPED, ""}}), 0);
+    EXPECT_EQ(told, (std::vector<std::pair<int64_t, int64_t>>{{1, 0}, {1, -1}}));
+    EXPECT_EQ(job(1)->rows, nullptr);
+    EXPECT_EQ(job(1)->state, JOB_CANCELLED);
+    EXPECT_EQ(r.oldest, job(2));
+    EXPECT_EQ(r.queues[0].live, 1);
+}
+
+TEST_F(Record, LastingTasksGoOnUntilCancelled)
+{
+    add(1, {{{2, {}, false, true}}, 0}, "b");
+    for (int attempt = 1; attempt < 6; attempt++) {
+        EXPECT_EQ(place({{1, 0, attempt}}), 0);
+        EXPECT_EQ(end({{1, 0, attempt, attempt % 2 ? END_FAILED : END_DONE, attempt == 2 ? "kept" : ""}}), 0);
+        EXPECT_EQ(end({{1, 0, attempt, END_DONE, ""}}), P_STALE);
+        EXPECT_EQ(job(1)->rows[0].state, ROW_WAITING);
+    }
+    EXPECT_EQ(job(1)->rows[0].failures, 0);
+    EXPECT_EQ(job(1)->state, JOB_ACTIVE);
+    EXPECT_STREQ(job(1)->rows[0].saved, "kept");
+}
+
+TEST_F(Record, NoAttemptsMaxCountsAsOne)
+{
+    add(1, two, "b");
+    place({{1, 0, 1}});
+    EXPECT_EQ(end({{1, 0, 1, END_FAILED, ""}}), 0);
+    EXPECT_EQ(job(1)->state, JOB_FAILED);
+    EXPECT_EQ(job(1)->rows, nullptr);
+}
+
+TEST_F(Record, TimesAreRunsOfTheirOwn)
+{
+    add(1, {{{2, {}}, {3, {0}}}, 3});
+    struct job *j = job(1);
+    EXPECT_EQ(j->times, 3);
+    EXPECT_EQ(job_due_ms(j, 2), 5200);
+    for (int64_t no = 0; no < 15; no++) {
+        int64_t time, step, index;
+        job_place(j, no, &time, &step, &index);
+        EXPECT_EQ(no, time * 5 + (step ? 2 : 0) + index);
+        EXPECT_EQ(job_row(j, job_task(j, no)), no);
+    }
+    EXPECT_EQ(job_row(j, task_of(3, 0, 0)), -1);
+    EXPECT_EQ(job_row(j, task_of(0, 2, 0)), -1);
+    EXPECT_EQ(job_row(j, task_of(0, 0, 2)), -1);
+    EXPECT_EQ(job_row(j, -1), -1);
+    place({{1, task_of(1, 0, 0), 1}, {1, task_of(1, 0, 1), 1}});
+    end({{1, task_of(1, 0, 0), 1, END_DONE, ""}, {1, task_of(1, 0, 1), 1, END_DONE, ""}});
+    EXPECT_TRUE(job_step_begins(j, 1, 1));
+    EXPECT_FALSE(job_step_begins(j, 0, 1));
+}
+
+TEST_F(Record, LivesWithNothingOnThemAreUsedAgain)
+{
+    add(1, two);
+    place({{1, 0, 1}}, "x");
+    place({{1, 1, 1}}, "y");
+    end({{1, 0, 1, END_LAPSED, ""}});
+    place({{1, 0, 2}}, "y");
+    EXPECT_EQ(job(1)->rows[0].life, 1);
+    end({{1, 0, 2, END_LAPSED, ""}});
+    place({{1, 0, 3}}, "z");
+    EXPECT_EQ(r.nLives, 2);
+    EXPECT_STREQ(r.lives[0].name, "z");
+    EXPECT_EQ(job(1)->rows[0].life, 0);
+}
+
+TEST_F(Record, CutDigestIsRefused)
+{
+    add(1, gang);
+    add(2, two);
+    place({{1, 0, 1}, {1, 1, 1}, {1, 2, 1}});
+    cancel(2);
+    std::string whole = digest_of(&r);
+    for (size_t len = 0; len < whole.size(); len++) {
+        struct record to;
+        record_start(&to);
+        bytes part = {(uint8_t *)whole.data(), (int64_t)len, (int64_t)len};
+        EXPECT_NE(record_restore(&to, &part), 0);
+        EXPECT_EQ(to.nJobs, 0);
+        record_end(&to);
+    }
+    bytes nonsense = {(uint8_t *)whole.data(), 3, 3};
+    EXPECT_EQ(record_apply_batch(&r, &nonsense), P_BAD_FRAME);
+}
+
+}  // namespace
