Executors are left alone by their share of failures, not by a count

Ruled out: the leader's processor time (0.02 of a core), reservations of wide steps. Change: a moving share of bad ends, compared with the other executors', and never more than half of them shunned.

--- a/src/controller/directory.c
+++ b/src/controller/directory.c
@@ -4,6 +4,7 @@
 
 enum {
     LEADER_ASK_MS = 500, SEARCH_MS = 150, SEARCH_LONG_MS = 300, SEARCH_AT_ONCE = 8,
+    TELL_AT_ONCE = 4, TELL_MS = 2000,    /* a leader makes itself known to whoever does not ask it */
     HEARD_MS = 1200,         /* a leader unheard for longer is looked for */
     LIVING_MS = 10000,       /* heard directly within so long: told to others */
     FORGET_MS = 60000
@@ -84,6 +85,19 @@
     return d->leader;
 }
 
+/* Seeds that all began anew know nobody: the leader asks them, so that they ask it. */
+static void tell(struct directory *d)
+{
+    int64_t nowMs = world_ms(d->w), told = 0;
+    for (int64_t i = 0; i < d->n && told < TELL_AT_ONCE; i++) {
+        const struct directory_entry *e = &d->entries[d->turn++ % d->n];
+        if (e->directMs && nowMs - e->directMs < TELL_MS)
+            continue;
+        ask(d, e->addr);
+        told++;
+    }
+}
+
 void directory_tick(struct directory *d)
 {
     int64_t nowMs = world_ms(d->w), leader = directory_leader(d);
@@ -95,6 +109,8 @@
         d->askDueMs = nowMs + LEADER_ASK_MS;
         if (leader != (int64_t)d->w->self)
             ask(d, leader);
+        else
+            tell(d);
         forget(d);
         return;
     }
--- a/src/dispatch/leader_place.c
+++ b/src/dispatch/leader_place.c
@@ -23,7 +23,7 @@
                               .cpuFree = e->cpuMilli - s->cpuReserved, .memoryFree = e->memoryMb - s->memoryReserved,
                               .gpusFree = e->gpus - s->gpusReserved, .open = station_open(d, s),
                               .departsMs = e->departureMs > 0 ? nowMs + e->departureMs : INT64_MAX,
-                              .slowPct = s->slowPct, .failures = s->failures, .guards = 1};
+                              .slowPct = s->slowPct, .failures = s->badPct / 30, .guards = 1};
         if (life < 0 || life >= d->nTenures)
             continue;
         seat->cpuFree -= d->tenures[life].cpuMilli;
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -39,7 +39,7 @@
     int64_t agent, boot, heardMs, epoch, present, ready;
     struct executor_state executor;
     int64_t cpuReserved, memoryReserved, gpusReserved;
-    int64_t dirty, failures, failuresMs, slowPct, shunUntilMs;
+    int64_t dirty, slowPct, badPct, shunUntilMs;
     char **lostLives;
     int64_t nLostLives;
     struct run_ref *zombies;     /* run there although no row says so: to be stopped */
@@ -114,7 +114,7 @@
 struct station *station_of(struct dispatch *d, int64_t agent);
 struct station *station_of_life(struct dispatch *d, int64_t life);
 int station_open(const struct dispatch *d, const struct station *s);
-void station_blame(struct dispatch *d, struct station *s, int64_t weight);
+void station_judge(struct dispatch *d, struct station *s, int64_t bad, int64_t weight);
 void station_free(struct station *s);
 
 /* leader_orders.c */
--- a/src/dispatch/leader_stations.c
+++ b/src/dispatch/leader_stations.c
@@ -2,10 +2,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/events.h"
 #include "base/problem.h"
 #include "dispatch/leader_state.h"
 
-enum { BLAME_DECAY_MS = 3000, SHUN_MS = 4000, BLAME_SHUN = 6, SLOW_MOST = 1500 };
+enum { SHUN_MS = 4000, SHUN_PCT = 60, SLOW_MOST = 1500 };
 
 struct station *station_of(struct dispatch *d, int64_t agent)
 {
@@ -55,19 +56,25 @@
            s->executor.silentMs < SILENT_MS && nowMs >= s->shunUntilMs;
 }
 
-/* An executor whose work fails, stalls or is turned away again and again is left alone for a while. */
-void station_blame(struct dispatch *d, struct station *s, int64_t weight)
+/* An executor whose work mostly fails, stalls or is turned away is left alone for a while.
+ * Some tasks fail by their own fault anywhere, so it is judged by its share over the last few,
+ * and against the others'; and never so that less than half of the stations are left. */
+void station_judge(struct dispatch *d, struct station *s, int64_t bad, int64_t weight)
 {
-    int64_t nowMs = world_ms(d->w);
-    int64_t steps = (nowMs - s->failuresMs) / BLAME_DECAY_MS;
-    for (; steps > 0 && s->failures; steps--)
-        s->failures /= 2;
-    s->failuresMs = nowMs;
-    s->failures += weight;
-    if (s->failures < BLAME_SHUN)
+    int64_t nowMs = world_ms(d->w), shunned = 0, othersPct = 0;
+    for (int64_t i = 0; i < weight; i++)
+        s->badPct += ((bad ? 100 : 0) - s->badPct) / 6;
+    if (s->badPct < SHUN_PCT || nowMs < s->shunUntilMs)
+        return;
+    for (int64_t i = 0; i < d->nStations; i++) {
+        shunned += nowMs < d->stations[i]->shunUntilMs;
+        othersPct += d->stations[i]->badPct;
+    }
+    if ((shunned + 1) * 2 > d->nStations || othersPct / d->nStations * 2 > s->badPct)
         return;
     s->shunUntilMs = nowMs + SHUN_MS;
-    s->failures = BLAME_SHUN / 2;
+    s->badPct = SHUN_PCT / 2;
+    world_note(d->w, EV_QUARANTINE, "executor=%s", s->executor.life);
 }
 
 /* How long work takes there against its estimate, and against how long it takes elsewhere. */
@@ -111,8 +118,8 @@
             continue;
         if (e->how == END_DONE)
             learn_pace(d, s, run);
-        else if (e->how == END_FAILED || e->how == END_ALONE)
-            station_blame(d, s, 1);
+        if (e->how == END_DONE || e->how == END_FAILED)
+            station_judge(d, s, e->how == END_FAILED, 1);
         run_end(d, run, e->how, e->saved);
     }
     int64_t seen = waiting == INT64_MAX ? newest : waiting - 1;
@@ -156,7 +163,7 @@
         run->known = 1;
         if (!run->refused) {
             run->refused = 1;
-            station_blame(d, s, f->reason == REFUSED_SICK ? 4 : 1);
+            station_judge(d, s, f->reason == REFUSED_SICK, 2);
         }
         /* an unanswered call of the same order may still be carried out: only a stop proves */
         run_stop(d, run);
@@ -195,7 +202,7 @@
         s->cpuReserved = s->memoryReserved = s->gpusReserved = 0;
         s->seen = 0;
         s->slowPct = 100;
-        s->failures = s->shunUntilMs = 0;
+        s->badPct = s->shunUntilMs = 0;
         d->planDue = 1;
     }
     if (s->ready != r->ready || s->executor.draining != r->executor.draining)
--- a/src/dispatch/leader_watch.c
+++ b/src/dispatch/leader_watch.c
@@ -36,7 +36,7 @@
     if (!spec->lasting && run->startedMs && nowMs - run->seenMs < FRESH_MS && nowMs - run->percentMs > STALL_MS &&
         run->percent >= 0) {
         d->stalledCount++;
-        station_blame(d, s, 3);
+        station_judge(d, s, 1, 2);
         run_stop(d, run);
         run_gang_stop(d, run->job, run->no);
     }
--- a/src/proc/http_in.c
+++ b/src/proc/http_in.c
@@ -203,7 +203,8 @@
 
 /* --- one daemon behind several listeners ------------------------------------------ */
 
-static void noted(void *arg, struct MHD_Connection *connection, void **context, enum MHD_ConnectionNotificationCode code)
+static void noted(void *arg, struct MHD_Connection *connection, void **context,
+                  enum MHD_ConnectionNotificationCode code)
 {
     struct real *real = arg;
     (void)connection;
--- a/tests/unit/agent_rig.h
+++ b/tests/unit/agent_rig.h
@@ -193,6 +193,8 @@
             if (!under[i].carried && now >= under[i].carryAt)
                 carry_out(under[i]);
         for (size_t i = 0; i < under.size();) {
+            if (under[i].poll && under[i].life != ex.life)
+                under[i].status = 0;         // it went with the life that kept it waiting
             Call c = under[i];
             bool ready = c.carried && c.status && (!c.poll || now >= c.answerBy || ex.seq > c.seqThen);
             bool timedOut = now >= c.sentMs + c.waitMs;
