--- a/tests/unit/agent_executor.h
+++ b/tests/unit/agent_executor.h
@@ -111,7 +111,8 @@
     double rate = 1.0;               // of its clock against true time
     double clock = 50000;
     int64_t fence = 0, hold = 0, lastSeen = 0, seq = 0, room = 100, sick = 0;
-    std::map<Key, int64_t> active, barred;
+    std::map<Key, int64_t> active, barred, stopped;  // stopped: when, on its clock, it will have ended
+    int64_t stopMs = 0;
     struct End { int64_t seq, job, task, attempt, how; };
     std::vector<End> ended;
     std::vector<std::string> starts;                 // all that were begun, as "task.attempt"
@@ -127,10 +128,17 @@
         ended.push_back({++seq, key.first, key.second, it->second, how});
         barred[key] = std::max(barred[key], it->second);
         active.erase(it);
+        stopped.erase(key);
     }
     void tick(int64_t trueMs)
     {
         clock += rate;
+        for (auto it = stopped.begin(); it != stopped.end();) {
+            Key key = it->first;
+            int64_t at = (it++)->second;
+            if (now() >= at)
+                end(key, END_STOPPED);
+        }
         if (now() < hold || active.empty())
             return;
         lapsedAt = trueMs;
@@ -185,7 +193,7 @@
         Key key{job, task};
         if (what == "stop") {
             if (active.count(key) && active[key] == attempt)
-                end(key, END_STOPPED);
+                stopped[key] = now() + stopMs;
             else
                 barred[key] = std::max(barred[key], attempt);
             return plain(0);
--- a/tests/unit/agent_lease_test.cc
+++ b/tests/unit/agent_lease_test.cc
@@ -152,6 +152,30 @@
     EXPECT_EQ(rig.ex.lapsedAt, 0);
 }
 
+// The former process may have called it, and that may still be carried out.
+TEST(AgentLease, restarted_agent_takes_no_refusal_for_proof)
+{
+    Rig rig;
+    rig.settled();
+    rig.lateMs = 3000;
+    rig.ex.room = 0;
+    rig.fate = [](const Call &c) { return c.what == "start" ? LATE : CARRIED; };
+    rig.start(1, 1);
+    rig.run(100);
+    rig.restart();
+    rig.fate = [](const Call &) { return CARRIED; };
+    rig.orders();
+    rig.beat("A", 100);
+    rig.run(300);
+    rig.after = [&] { EXPECT_EQ(rig.refusal(1), 0); };
+    rig.start(1, 1);
+    rig.run(1000);
+    EXPECT_EQ(rig.how_ended(1), END_ABSENT);
+    rig.ex.room = 10;
+    rig.run(4000);
+    EXPECT_TRUE(rig.ex.starts.empty());
+}
+
 TEST(AgentLease, new_life_proves_the_old_one_over_once_it_answers)
 {
     Rig rig;
--- a/tests/unit/agent_random_test.cc
+++ b/tests/unit/agent_random_test.cc
@@ -31,7 +31,9 @@
     explicit Fleet(unsigned seed) : random(seed)
     {
         rig.fate = [this](const Call &) { return one_in(8) ? (Fate)(1 + random() % 3) : CARRIED; };
+        rig.answerDelay = [this] { return one_in(3) ? (int64_t)(random() % 120) : 0; };
         rig.lateMs = 1500;
+        rig.ex.stopMs = 200;
         rig.ex.room = 3;
         rig.ex.strictSeen = false;
         rig.after = [this] { step(); };
@@ -151,6 +153,7 @@
             next.life = "L" + std::to_string(++lives);
             next.rate = 0.98;
             next.room = 3;
+            next.stopMs = 200;
             next.strictSeen = false;
             rig.ex = next;
             rig.seen = 0;
--- a/tests/unit/agent_rig.h
+++ b/tests/unit/agent_rig.h
@@ -17,7 +17,7 @@
     Fate fate;
     int status;
     bool carried, poll;
-    int64_t seqThen;
+    int64_t seqThen, notBefore;
 };
 
 struct Report {
@@ -34,6 +34,7 @@
     std::shared_ptr<Report> last = std::make_shared<Report>();
     std::vector<int64_t> reportsAt;
     std::function<Fate(const Call &)> fate = [](const Call &) { return CARRIED; };
+    std::function<int64_t()> answerDelay = [] { return 0; };   // from carrying out to the answer
     std::vector<std::string> sent;               // "what body" of every call
     struct agent *a = nullptr;
     bool grant = true, executorUp = true;
@@ -183,6 +184,7 @@
             c.answer = ex.carry_out(c.what, c.body, waits);
             c.poll = waits > 0 && ex.ended.empty();
             c.answerBy = now + waits;
+            c.notBefore = c.poll ? 0 : now + answerDelay();
         }
         if (c.fate != CARRIED)
             c.status = 0;
@@ -196,7 +198,8 @@
             if (under[i].poll && under[i].life != ex.life)
                 under[i].status = 0;         // it went with the life that kept it waiting
             Call c = under[i];
-            bool ready = c.carried && c.status && (!c.poll || now >= c.answerBy || ex.seq > c.seqThen);
+            bool ready = c.carried && c.status && now >= c.notBefore &&
+                         (!c.poll || now >= c.answerBy || ex.seq > c.seqThen);
             bool timedOut = now >= c.sentMs + c.waitMs;
             if (c.done && (ready || timedOut)) {
                 under[i].done = nullptr;
--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -39,6 +39,21 @@
     EXPECT_EQ(rig.r().epoch, 4);
 }
 
+TEST(Agent, orders_under_a_former_epoch_are_not_carried_on)
+{
+    Rig rig;
+    rig.settled();
+    rig.fate = [](const Call &c) { return c.what == "start" ? LOST : CARRIED; };
+    rig.start(1, 1);
+    rig.run(100);
+    rig.fate = [](const Call &) { return CARRIED; };
+    rig.epoch = 4;
+    rig.orders();
+    rig.run(3000);
+    EXPECT_TRUE(rig.ex.starts.empty());
+    EXPECT_FALSE(rig.is_pending(1));
+}
+
 TEST(Agent, orders_of_a_lower_epoch_change_nothing)
 {
     Rig rig;
