Gangs that lost a member under a former leader are not begun; orders are numbered

Change: dispatch_lead stops the rest of such gangs; a run of the same attempt stays; orders carry a number that rises within an epoch. Looks are paced by need: 15 ms while work waits for room, else 50 ms.

--- a/src/agent/agent_calls.c
+++ b/src/agent/agent_calls.c
@@ -281,7 +281,7 @@
                                                            work->start.task, work->start.attempt)))
             need.proof = 1;
     }
-    int64_t paced = life->lookDoneMs + PACE_MS;
+    int64_t paced = life->lookDoneMs + (a->paceMs ? a->paceMs : PACE_MS);
     if (!life->ready || life->silentSinceMs || life->retryDueMs)
         need.dueMs = life->retryDueMs;
     else if (need.proof)
--- a/src/agent/agent_report.c
+++ b/src/agent/agent_report.c
@@ -112,8 +112,10 @@
 
 void agent_orders_take(struct agent *a, const struct agent_orders *orders, int64_t now)
 {
-    if (orders->epoch < a->epoch || orders->epoch <= 0)
+    if (orders->epoch < a->epoch || orders->epoch <= 0 ||
+        (orders->epoch == a->epoch && orders->number < a->ordersNo))
         return;
+    a->ordersNo = orders->number;
     if (orders->epoch > a->epoch) {
         a->epoch = orders->epoch;
         a->life.ready = 0;
@@ -122,6 +124,7 @@
         agent_works_epoch(a);
     }
     a->heardMs = now;
+    a->paceMs = orders->paceMs > 0 && orders->paceMs < 1000 ? orders->paceMs : 0;
     agent_works_step(a, now);        /* what the lease no longer covers goes before it is renewed */
     if (orders->leader)
         directory_learn(&a->directory, orders->epoch, orders->leader);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -89,8 +89,9 @@
     struct directory directory;
     uint32_t cluster;
     int64_t startedMs;
-    int64_t epoch;                   /* the highest ever ordered under */
+    int64_t epoch, ordersNo;         /* the highest ever ordered under, and the newest number of it */
     int64_t fencedEpoch;             /* the executor knew of a higher one than this */
+    int64_t paceMs;                  /* as the leader last said; 0: PACE_MS */
     int64_t grantUntilMs, grantStampMs;      /* for the current life alone */
     int64_t lastStampMs;
     struct agent_life life;
--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -209,8 +209,12 @@
         }
         return;
     }
+    const struct row *row = &job->rows[no];
+    const struct run *same = run_of_row(d, job, no);
+    if (same && same->attempt == row->attempt)
+        return;                  /* placed as before: only what it saved is new */
     run_drop(d, job, no);
-    if (job->rows[no].state == ROW_PLACED)
+    if (row->state == ROW_PLACED)
         run_add(d, job, no);
     else if (job->rows[no].state == ROW_WAITING)
         run_gang_stop(d, job, no);
@@ -252,6 +256,11 @@
         for (int64_t i = 0; job->rows && i < job->times * job->tasks; i++)
             if (job->rows[i].state == ROW_PLACED)
                 run_add(d, job, i);
+    /* a gang that lost a member under a former leader: the others are not begun any more */
+    for (struct job *job = d->record->oldest; job; job = job->next)
+        for (int64_t i = 0; job->rows && i < job->times * job->tasks; i++)
+            if (job->rows[i].state == ROW_WAITING)
+                run_gang_stop(d, job, i);
     for (int64_t k = 0; k < d->nTenures; k++)
         d->tenures[k].grantMs = d->leadSinceMs + TAKEOVER_MS;
     d->planDue = 1;
--- a/src/dispatch/leader_orders.c
+++ b/src/dispatch/leader_orders.c
@@ -29,9 +29,11 @@
 {
     int64_t nowMs = world_ms(d->w);
     int leads = d->calls.leads(d->calls.arg);
-    struct agent_orders o = {.epoch = d->epoch, .leaseMs = d->params.leaseMs, .leader = (int64_t)d->w->self,
+    struct agent_orders o = {.epoch = d->epoch, .number = ++d->ordersNo, .leaseMs = d->params.leaseMs,
+                             .leader = (int64_t)d->w->self,
                              .life = s->present ? s->executor.life : NULL, .seen = s->seen,
-                             .drainSeen = s->executor.draining, .stops = s->zombies, .nStops = s->nZombies,
+                             .drainSeen = s->executor.draining,
+                             .paceMs = d->plan.blocked ? PACE_BUSY_MS : PACE_CALM_MS, .stops = s->zombies, .nStops = s->nZombies,
                              .endsSeen = s->absent, .nEndsSeen = s->nAbsent, .livesSeen = s->lostLives,
                              .nLivesSeen = s->nLostLives};
     int64_t life = s->present ? life_find(d, s->executor.life) : -1;
@@ -62,7 +64,8 @@
         int told = !agent;
         for (int64_t i = 0; i < k && !told; i++)
             told = d->record->lives[i].agent == agent;
-        struct agent_orders o = {.epoch = d->epoch, .leaseMs = d->params.leaseMs, .leader = (int64_t)d->w->self};
+        struct agent_orders o = {.epoch = d->epoch, .number = ++d->ordersNo, .leaseMs = d->params.leaseMs,
+                                 .leader = (int64_t)d->w->self};
         if (!told)
             d->calls.orders(d->calls.arg, agent, &o);
     }
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -14,6 +14,8 @@
     STALL_MS = 2500,         /* work that shows no progress for longer is moved */
     PLACES_MOST = 400,
     STATE_WAIT_MS = 100,     /* a state asked for waits so long for ends that came before it was asked */
+    PACE_BUSY_MS = 15,       /* while work waits for room, ends are looked for this often; */
+    PACE_CALM_MS = 50,       /* else this often: looks are dear */
     JOBS_MOST = 4000,
     FORGET_MS = 60000
 };
@@ -85,7 +87,7 @@
     struct record *record;
     struct dispatch_params params;
     struct dispatch_calls calls;
-    int64_t epoch, leading, leadSinceMs;
+    int64_t epoch, leading, leadSinceMs, ordersNo;
     struct tenure *tenures;
     int64_t nTenures;
     struct station **stations;
--- a/src/dispatch/messages.c
+++ b/src/dispatch/messages.c
@@ -38,7 +38,8 @@
 
 static const struct field ordersFields[] = {
     INT(agent_orders, epoch), INT(agent_orders, stampMs), INT(agent_orders, leaseMs), INT(agent_orders, leader),
-    STR(agent_orders, life), INT(agent_orders, seen), INT(agent_orders, drainSeen),
+    INT(agent_orders, number), STR(agent_orders, life), INT(agent_orders, seen), INT(agent_orders, drainSeen),
+    INT(agent_orders, paceMs),
     LIST(agent_orders, starts, nStarts, runStartShape), LIST(agent_orders, stops, nStops, runRefShape),
     LIST(agent_orders, endsSeen, nEndsSeen, runRefShape), STRS(agent_orders, livesSeen, nLivesSeen)};
 SHAPE(agentOrdersShape, agent_orders, ordersFields);
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -86,8 +86,10 @@
  * life: for which starts, stops and seen are meant. */
 struct agent_orders {
     int64_t epoch, stampMs, leaseMs, leader;
+    int64_t number;                      /* rises within an epoch: an older frame overtaken by a newer is not taken */
     char *life;
     int64_t seen;                        /* ends up to this seq are committed */
+    int64_t paceMs;                      /* after a look with ends, how long others may gather; 0: as the agent likes */
     int64_t drainSeen;                   /* no more starts will come: the leader knows it drains */
     struct run_start *starts;
     int64_t nStarts;
