Least slack first, what can be in time before what is late; urgent work pushes out after 6 s

Cause: under saturation jobs already past their aim took room from jobs that could still make it, and older went before tighter. Change: entries stand by urgency, then in time, late, hopeless, then by slack of the rest of their chain; the most urgent work pushes out a little after 6 s of waiting; long polls last 1.5 s unless calls go unanswered.

--- a/src/agent/agent_calls.c
+++ b/src/agent/agent_calls.c
@@ -125,6 +125,7 @@
 static void unanswered(struct agent *a, const struct executor_ask *ask, int64_t now)
 {
     struct agent_life *life = &a->life;
+    life->unansweredMs = now;
     if (!life->silentSinceMs)
         life->silentSinceMs = ask->sentMs;
     if (life->left && !life->leftSilentMs && ask->sentMs > life->leftMs)
@@ -314,7 +315,8 @@
     if (life->ready && need.busy && !need.proof && !life->silentSinceMs && !life->left && !last) {
         int64_t held = ask.expiresMs ? ask.expiresMs : life->heldMs;
         waitMs = held - clock - RENEW_MS;
-        waitMs = waitMs < POLL_LEAST_MS ? POLL_LEAST_MS : waitMs > POLL_MS ? POLL_MS : waitMs;
+        int64_t most = life->unansweredMs && now - life->unansweredMs < DOUBT_CALLS_MS ? POLL_DOUBT_MS : POLL_MS;
+        waitMs = waitMs < POLL_LEAST_MS ? POLL_LEAST_MS : waitMs > most ? most : waitMs;
     }
     struct executor_call call = {0};
     a->setup.executorDialect->look(&call, life->state.life, a->epoch, life->seen, ask.expiresMs, waitMs);
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -7,8 +7,10 @@
 enum agent_tuning {
     WORK_CALLS_MAX = 3,          /* starts and stops under way at once */
     CALLS_MAX = WORK_CALLS_MAX + 3,  /* beside them a look, one of a former epoch, a probe of a new life */
-    CALL_WAIT_MS = 300,         /* for a start, a stop, a look that does not wait */
-    POLL_MS = 500,              /* a look waits so long for an end */
+    CALL_WAIT_MS = 300,          /* for a start, a stop, a look that does not wait */
+    POLL_MS = 1500,              /* a look waits so long for an end */
+    POLL_DOUBT_MS = 500,         /* only so long for a while after a call was not answered */
+    DOUBT_CALLS_MS = 10000,
     POLL_LEAST_MS = 200,
     POLL_MARGIN_MS = 250,        /* beyond its waiting, until a look counts as unanswered */
     RENEW_MS = 900,              /* a look is to be back so long before the hold ends */
@@ -76,7 +78,7 @@
     int64_t clockMs, clockAtMs, sentExpiryMs, heldMs;
     int64_t seen, seenTold, seenRaisedMs;
     int64_t silentSinceMs, retryMs, retryDueMs;    /* silentSinceMs 0: it answers */
-    int64_t lookDoneMs, proveMs;
+    int64_t lookDoneMs, proveMs, unansweredMs;     /* unansweredMs: when a call last was; 0: never */
     struct executor_task *active;
     int64_t nActive;
     struct executor_task *ended;                   /* by rising seq, all above seen */
--- a/src/dispatch/leader_place.c
+++ b/src/dispatch/leader_place.c
@@ -5,7 +5,7 @@
 
 #include "dispatch/leader_state.h"
 
-enum { KEEP_PCT = 180 };
+enum { KEEP_PCT = 180, VICTIMS_MOST = 4, PUSH_MS = 500, PUSH_AFTER_MS = 6000 };
 
 static void make_seats(struct dispatch *d)
 {
@@ -58,7 +58,10 @@
     struct dispatch *d = arg;
     int rc;
     J1T(rc, d->busy, row_key(job, no));
-    return rc;
+    if (rc || job->rows[no].state != ROW_PLACED)
+        return rc;
+    const struct run *run = run_of_row(d, job, no);
+    return run && (run->stopping || run->ending);
 }
 
 /* All placements of one seat go in one op; a gang's ops stand in one batch. */
@@ -94,6 +97,25 @@
     (void)rc;
 }
 
+/* Urgent work that has found no room for long pushes out what loses least, a little at a time.
+ * Done at once it costs more than it gives: what is pushed out is begun again, and pushed out again. */
+static void push_out(struct dispatch *d, const struct plan_input *input, int64_t nowMs)
+{
+    struct victim victims[VICTIMS_MOST];
+    if (!d->plan.blocked || d->plan.blockedMs < PUSH_AFTER_MS || nowMs < d->pushMs)
+        return;
+    d->pushMs = nowMs + PUSH_MS;
+    int64_t n = plan_victims(input, victims, VICTIMS_MOST);
+    for (int64_t i = 0; i < n; i++) {
+        struct run *run = run_of_row(d, victims[i].job, victims[i].no);
+        if (!run || run->stopping || run->ending)
+            continue;
+        d->preemptedCount++;
+        run_stop(d, run);
+        run_gang_stop(d, victims[i].job, victims[i].no);
+    }
+}
+
 void place_round(struct dispatch *d)
 {
     int64_t nowMs = world_ms(d->w), wallMs = d->w->calls->wall_ms(d->w);
@@ -108,6 +130,7 @@
     int64_t fromOp = d->open ? d->open->ops.n : 0;
     for (int64_t i = 0; i < plan->n; i++)
         promise(d, &plan->places[i], &d->seats[plan->places[i].seat], fromOp);
+    push_out(d, &input, nowMs);
     d->planAtMs = nowMs + 250;
     if (plan->nextDueMs != INT64_MAX && plan->nextDueMs - wallMs < 250)
         d->planAtMs = nowMs + (plan->nextDueMs > wallMs ? plan->nextDueMs - wallMs : 10);
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -97,7 +97,7 @@
     struct batch *open;          /* gathers until the next flush */
     struct slab batches, readers;
     Pvoid_t busy;                /* Judy1 of row keys in promises */
-    int64_t planDue, planAtMs, tickMs, forgetMs, watchMs;
+    int64_t planDue, planAtMs, pushMs, tickMs, forgetMs, watchMs;
     struct plan plan;            /* kept for its scratch */
     struct seat *seats;
     int64_t nSeats;
--- a/src/dispatch/plan.c
+++ b/src/dispatch/plan.c
@@ -7,6 +7,7 @@
 
 enum {
     EARLY_PCT = 40,              /* of the allowance by which a time may begin early */
+    REST_PCT = 75,               /* estimates are rough: so much of the rest must fit before the aim */
     HOPELESS_AIMS = 3,           /* later than so many times its aim a job earns nothing */
     AGEING_AIMS = 4,             /* for each so many aims of waiting it rises by one class */
     RESERVE_MS = 1500,           /* a blocked entry that waited so long holds room, */
@@ -69,26 +70,29 @@
         round->queueService[i] = service_of(round, record->queues[i].config.service, 0);
 }
 
-/* Within so long from handing in (or from its time) a job is in time. */
-static int64_t aim_ms(const struct record *record, const struct job *job)
+/* By estimates: how long the longest chain from each step on takes, and within how long from
+ * handing in (or from its time) the whole job is in time. */
+static int64_t aim_ms(const struct record *record, const struct job *job, int64_t rest[STEPS_MAX])
 {
     const struct queue_config *queue = &record->queues[job->queue].config;
-    int64_t chain[STEPS_MAX], longest = 0;
-    for (int64_t s = 0; s < job->spec.nSteps && s < STEPS_MAX; s++) {
+    int64_t longest = 0;
+    for (int64_t s = 0; s < job->spec.nSteps; s++)
+        rest[s] = job->spec.steps[s].estimateMs;
+    for (int64_t s = job->spec.nSteps - 1; s >= 0; s--) {
         const struct step_spec *step = &job->spec.steps[s];
-        int64_t before = 0;
-        for (int64_t i = 0; i < step->nDependsOn; i++)
-            if (step->dependsOn[i] >= 0 && step->dependsOn[i] < s && chain[step->dependsOn[i]] > before)
-                before = chain[step->dependsOn[i]];
-        chain[s] = before + step->estimateMs;
-        if (chain[s] > longest)
-            longest = chain[s];
+        for (int64_t i = 0; i < step->nDependsOn; i++) {
+            int64_t before = step->dependsOn[i];
+            if (rest[before] < job->spec.steps[before].estimateMs + rest[s])
+                rest[before] = job->spec.steps[before].estimateMs + rest[s];
+        }
+        longest = rest[s] > longest ? rest[s] : longest;
     }
     int64_t aimMs = longest * queue->stretchPct / 100 + queue->targetMs;
     return aimMs > 0 ? aimMs : 1;
 }
 
-static void entry_add(struct plan_round *round, struct job *job, int64_t time, int64_t step, int64_t aimMs)
+static void entry_add(struct plan_round *round, struct job *job, int64_t time, int64_t step, int64_t aimMs,
+                      int64_t restMs)
 {
     const struct record *record = round->in->record;
     int64_t dueMs = job_due_ms(job, time), wallMs = round->in->wallMs;
@@ -111,7 +115,9 @@
     entry->sinceMs = sinceMs;
     entry->urgency = (int32_t)(priority > risen ? priority - risen : 0);
     entry->spareMs = aimMs - ageMs - 2 * job->spec.steps[step].estimateMs;
-    entry->hopeless = !job->spec.steps[step].lasting && ageMs > HOPELESS_AIMS * aimMs;
+    entry->slackMs = aimMs - ageMs - restMs * REST_PCT / 100;
+    if (!job->spec.steps[step].lasting)
+        entry->lateness = ageMs > HOPELESS_AIMS * aimMs ? HOPELESS : entry->slackMs < 0 ? LATE : IN_TIME;
 }
 
 static int entry_order(const void *a, const void *b)
@@ -119,8 +125,10 @@
     const struct plan_entry *x = a, *y = b;
     if (x->urgency != y->urgency)
         return x->urgency < y->urgency ? -1 : 1;
-    if (x->hopeless != y->hopeless)
-        return x->hopeless < y->hopeless ? -1 : 1;
+    if (x->lateness != y->lateness)
+        return x->lateness < y->lateness ? -1 : 1;
+    if (x->lateness == IN_TIME && x->slackMs != y->slackMs)
+        return x->slackMs < y->slackMs ? -1 : 1;
     if (x->sinceMs != y->sinceMs)
         return x->sinceMs < y->sinceMs ? -1 : 1;
     if (x->job->index != y->job->index)
@@ -137,7 +145,7 @@
     *nextDueMs = INT64_MAX;
     seats_begin(round);
     for (struct job *job = in->record->oldest; job; job = job->next) {
-        int64_t aimMs = 0;
+        int64_t aimMs = 0, rest[STEPS_MAX];
         if (job_over(job))
             continue;            /* only here until what runs of it has ended */
         for (int64_t time = 0; job->rows && time < job->times; time++) {
@@ -152,8 +160,8 @@
             for (int64_t step = 0; step < job->spec.nSteps; step++) {
                 if (job->waiting[time * job->spec.nSteps + step] <= 0 || !job_step_begins(job, time, step))
                     continue;
-                aimMs = aimMs ? aimMs : aim_ms(in->record, job);
-                entry_add(round, job, time, step, aimMs);
+                aimMs = aimMs ? aimMs : aim_ms(in->record, job, rest);
+                entry_add(round, job, time, step, aimMs, rest[step]);
             }
         }
     }
@@ -276,11 +284,13 @@
     struct plan_round *round = plan->round;
     int64_t priority = round->in->record->queues[entry->job->queue].config.priority;
     plan->blocked += n;
-    if (priority < plan->blockedPriority)
+    if (priority < plan->blockedPriority) {
         plan->blockedPriority = priority;
+        plan->blockedMs = plan_waited_ms(round, entry);
+    }
     if (entry->service < 0 || round->services[entry->service].reserved)
         return;
-    if (plan_waited_ms(round, entry) < (entry->hopeless ? RESERVE_HOPELESS_MS : RESERVE_MS))
+    if (plan_waited_ms(round, entry) < (entry->lateness == HOPELESS ? RESERVE_HOPELESS_MS : RESERVE_MS))
         return;
     plan_judge(round, entry);
     plan_reserve(round, entry);
@@ -341,7 +351,7 @@
 {
     if (!plan->round)
         plan->round = must_alloc(sizeof *plan->round);
-    plan->n = plan->blocked = 0;
+    plan->n = plan->blocked = plan->blockedMs = 0;
     plan->blockedPriority = INT64_MAX;
     plan_round_begin(plan->round, input, &plan->nextDueMs);
     for (int64_t i = 0; i < plan->round->nEntries; i++)
--- a/src/dispatch/plan.h
+++ b/src/dispatch/plan.h
@@ -53,6 +53,7 @@
     int64_t n;
     int64_t nextDueMs;                   /* time of day at which the next time may begin; INT64_MAX: none */
     int64_t blocked;                     /* tasks whose turn has come that found no room */
+    int64_t blockedMs;                   /* how long the most urgent of them has waited */
     int64_t blockedPriority;             /* the most urgent priority among them; INT64_MAX: none */
 };
 void plan_make(const struct plan_input *input, struct plan *plan);
--- a/src/dispatch/plan_round.h
+++ b/src/dispatch/plan_round.h
@@ -3,6 +3,9 @@
 #define SAGEHITCH_DISPATCH_PLAN_ROUND_H
 #include "dispatch/plan.h"
 
+/* What can still be in time goes before what earns less, that before what earns nothing. */
+enum lateness { IN_TIME, LATE, HOPELESS };
+
 /* A step of a time whose turn has come and that has WAITING rows. */
 struct plan_entry {
     struct job *job;
@@ -10,7 +13,8 @@
     int64_t sinceMs;             /* the older goes first */
     int32_t urgency;             /* the queue's priority, less what it gained by waiting; 0 goes first */
     int64_t spareMs;             /* until it must begin to be in time, by its estimates */
-    int32_t hopeless;            /* so late that nothing is earned any more */
+    int64_t slackMs;             /* what is left of its aim beside the rest of its chain */
+    int32_t lateness;            /* enum lateness */
     int32_t service;             /* index into services, -1: it has no seats */
 };
 
--- a/src/dispatch/plan_victims.c
+++ b/src/dispatch/plan_victims.c
@@ -254,7 +254,7 @@
     for (int64_t i = 0; i < round.nEntries && stops.n && stops.left > 0 && tried < TRIED_MAX; i++) {
         const struct plan_entry *entry = &round.entries[i];
         const struct step_spec *step = entry_step(entry);
-        if (entry->service < 0 || entry->hopeless ||
+        if (entry->service < 0 || entry->lateness == HOPELESS ||
             input->record->queues[entry->job->queue].config.priority >= stops.leastUrgent)
             continue;
         if (!plan_gather(&round, entry, most))
