--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -14,7 +14,7 @@
     POLL_LEAST_MS = 200,
     POLL_MARGIN_MS = 250,        /* beyond its waiting, until a look counts as unanswered */
     RENEW_MS = 900,              /* a look is to be back so long before the hold ends */
-    RENEW_GAIN_MS = 300,         /* an expiry is renewed if it gains as much */
+    RENEW_GAIN_MS = 150,         /* an expiry is renewed if it gains as much */
     PACE_MS = 20,                /* after a look, so that several ends come in one */
     PROVE_MS = 20,               /* from the answer to a stop to the look that shows its end */
     SEEN_MS = 300,               /* seen is told so soon where nothing runs */
--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -12,7 +12,7 @@
         d->open = must_alloc(sizeof *d->open);
     struct record_op *op = list_more(d->open->ops.ops, d->open->ops.n);
     op->kind = kind;
-    op->atMs = d->w->calls->wall_ms(d->w);
+    op->atMs = dispatch_wall_ms(d);
     return op;
 }
 
@@ -227,6 +227,8 @@
 {
     struct dispatch *d = must_alloc(sizeof *d);
     *d = (struct dispatch){.w = w, .record = record, .params = *params, .calls = *calls, .typicalPct = 100};
+    d->wallSinceMs = world_ms(w);
+    d->wallAheadMs = w->calls->wall_ms(w) - d->wallSinceMs;
     return d;
 }
 
@@ -318,6 +320,7 @@
 
 void dispatch_tick(struct dispatch *d)
 {
+    watch_wall(d);
     if (!d->leading)
         return;
     d->tickMs = world_ms(d->w);
--- a/src/dispatch/leader_place.c
+++ b/src/dispatch/leader_place.c
@@ -5,7 +5,7 @@
 
 #include "dispatch/leader_state.h"
 
-enum { KEEP_PCT = 180, VICTIMS_MOST = 4, PUSH_MS = 500, PUSH_AFTER_MS = 6000 };
+enum { KEEP_PCT = 220, VICTIMS_MOST = 4, PUSH_MS = 500, PUSH_AFTER_MS = 6000 };
 
 static void make_seats(struct dispatch *d)
 {
@@ -34,7 +34,7 @@
     }
 }
 
-/* Urgent work comes in crowds: what it takes on average and most of that again is not
+/* Urgent work comes in crowds: twice what it takes on average and a little is not
  * filled up by work that has time to spare. */
 static void make_keeps(struct dispatch *d)
 {
@@ -118,7 +118,7 @@
 
 void place_round(struct dispatch *d)
 {
-    int64_t nowMs = world_ms(d->w), wallMs = d->w->calls->wall_ms(d->w);
+    int64_t nowMs = world_ms(d->w), wallMs = dispatch_wall_ms(d);
     struct plan *plan = &d->plan;
     d->planDue = 0;
     make_seats(d);
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -17,6 +17,8 @@
     PACE_BUSY_MS = 15,       /* while work waits for room, ends are looked for this often; */
     PACE_CALM_MS = 50,       /* else this often: looks are dear */
     JOBS_MOST = 4000,
+    WALL_JUMP_MS = 200,      /* a time of day that moves more against the steady clock has jumped */
+    WALL_DOUBT_MS = 60000,   /* and is believed after so long at the latest */
     FORGET_MS = 60000
 };
 
@@ -101,6 +103,8 @@
     struct plan plan;            /* kept for its scratch */
     struct seat *seats;
     int64_t nSeats;
+    int64_t wallAheadMs;         /* time of day less steady clock, as believed */
+    int64_t wallSinceMs, wallDoubtMs;    /* since when; since when it seems to be another, 0: it does not */
     int64_t typicalPct;          /* how long work takes against its estimates, over all */
     int64_t placedCount, endedCount, lapsedCount, stalledCount, preemptedCount;
 };
@@ -136,6 +140,8 @@
 
 /* leader_watch.c */
 void watch_tick(struct dispatch *d);
+int64_t dispatch_wall_ms(const struct dispatch *d);
+void watch_wall(struct dispatch *d);
 
 /* leader_place.c */
 void place_round(struct dispatch *d);
--- a/src/dispatch/leader_watch.c
+++ b/src/dispatch/leader_watch.c
@@ -7,6 +7,27 @@
 
 enum { WATCH_MS = 100, MEAN_MS = 5000 };
 
+/* The time of day, carried on by the steady clock. */
+int64_t dispatch_wall_ms(const struct dispatch *d) { return world_ms(d->w) + d->wallAheadMs; }
+
+/* A jump of the machine's time of day is believed once it has lasted as long as what was believed
+ * before, so that nothing that is due begins early or late for a jump that is taken back. Followers
+ * watch too: one of them leads next. */
+void watch_wall(struct dispatch *d)
+{
+    int64_t nowMs = world_ms(d->w), aheadMs = d->w->calls->wall_ms(d->w) - nowMs;
+    int64_t jumpMs = aheadMs - d->wallAheadMs;
+    if (jumpMs > -WALL_JUMP_MS && jumpMs < WALL_JUMP_MS) {
+        d->wallAheadMs = aheadMs, d->wallDoubtMs = 0;
+        return;
+    }
+    if (!d->wallDoubtMs)
+        d->wallDoubtMs = nowMs;
+    int64_t stoodMs = d->wallDoubtMs - d->wallSinceMs;
+    if (nowMs - d->wallDoubtMs > (stoodMs < WALL_DOUBT_MS ? stoodMs : WALL_DOUBT_MS))
+        d->wallAheadMs = aheadMs, d->wallSinceMs = d->wallDoubtMs, d->wallDoubtMs = 0;
+}
+
 /* The agent has not been answered for so long that all it held has lapsed, on the slowest clock. */
 static void watch_leases(struct dispatch *d, int64_t nowMs)
 {
@@ -66,7 +87,7 @@
 
 static void watch_old_jobs(struct dispatch *d)
 {
-    int64_t wallMs = d->w->calls->wall_ms(d->w);
+    int64_t wallMs = dispatch_wall_ms(d);
     struct record_op *op = NULL;
     Word_t id = 0;
     Pvoid_t *cell = JudyLFirst(d->record->jobs, &id, PJE0);
