--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -56,8 +56,8 @@
 
 struct run *run_of_row(struct dispatch *d, const struct job *job, int64_t no)
 {
-    const struct row *row = &job->rows[no];
-    if (row->state != ROW_PLACED || row->life >= d->nTenures)
+    const struct row *row = job->rows ? &job->rows[no] : NULL;
+    if (!row || row->state != ROW_PLACED || row->life >= d->nTenures)
         return NULL;
     struct tenure *t = &d->tenures[row->life];
     for (int64_t i = 0; i < t->n; i++)
@@ -68,10 +68,8 @@
 
 int64_t life_find(const struct dispatch *d, const char *name)
 {
-    for (int64_t i = 0; name && i < d->record->nLives; i++)
-        if (d->record->lives[i].placed && !strcmp(d->record->lives[i].name, name))
-            return i;
-    return -1;
+    int64_t life = record_life(d->record, name);
+    return life >= 0 && d->record->lives[life].placed ? life : -1;
 }
 
 static const struct step_spec *step_of(const struct job *job, int64_t no, int64_t *time, int64_t *step)
@@ -117,6 +115,9 @@
     *run = (struct run){.job = job, .no = no, .task = job_task(job, no), .attempt = row->attempt, .placedMs = nowMs,
                         .percentMs = nowMs, .percent = -1, .stopping = job_over(job), .life = row->life};
     run_room(d, run, 1);
+    PPvoid_t at;
+    JLI(at, d->runLives, row_key(job, no));
+    *at = (Pvoid_t)(Word_t)row->life;
     struct station *s = station_of_life(d, row->life);
     if (s)
         s->dirty = 1;
@@ -126,15 +127,20 @@
 /* The row is no longer PLACED: whichever tenure has the run gives it up. */
 static void run_drop(struct dispatch *d, struct job *job, int64_t no)
 {
-    for (int64_t k = 0; k < d->nTenures; k++) {
-        struct tenure *t = &d->tenures[k];
-        for (int64_t i = 0; i < t->n; i++) {
-            if (t->runs[i].job != job || t->runs[i].no != no)
-                continue;
-            run_room(d, &t->runs[i], -1);
-            t->runs[i] = t->runs[--t->n];
-            return;
-        }
+    PPvoid_t at;
+    int rc;
+    JLG(at, d->runLives, row_key(job, no));
+    if (!at)
+        return;
+    struct tenure *t = &d->tenures[(int64_t)(Word_t)*at];
+    JLD(rc, d->runLives, row_key(job, no));
+    (void)rc;
+    for (int64_t i = 0; i < t->n; i++) {
+        if (t->runs[i].job != job || t->runs[i].no != no)
+            continue;
+        run_room(d, &t->runs[i], -1);
+        t->runs[i] = t->runs[--t->n];
+        return;
     }
 }
 
@@ -315,6 +321,8 @@
     free(d->uses);
     d->uses = NULL, d->nUses = 0;
     J1FA(freed, d->busy);
+    JLFA(freed, d->runLives);
+    JLFA(freed, d->agentStations);
     (void)freed;
 }
 
@@ -379,14 +387,15 @@
         s->memoryReserved -= p->memoryMb;
         s->gpusReserved -= p->gpus;
     }
-    for (int64_t i = 0; i < batch->nEnds; i++)
-        for (int64_t k = 0; k < d->nTenures; k++) {
-            struct run *run = run_find(d, k, &batch->ends[i]);
-            if (!run)
-                continue;
-            run->ending = 0;
-            run_room(d, run, 1);
-        }
+    for (int64_t i = 0; i < batch->nEnds; i++) {
+        const struct job *job = record_job(d->record, batch->ends[i].job);
+        int64_t no = job ? job_row(job, batch->ends[i].task) : -1;
+        struct run *run = no >= 0 ? run_of_row(d, job, no) : NULL;
+        if (!run || run->attempt != batch->ends[i].attempt)
+            continue;
+        run->ending = 0;
+        run_room(d, run, 1);
+    }
     d->planDue = 1;
     shape_free(&recordResultShape, &results);
     batch_free(batch);
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -99,6 +99,8 @@
     struct batch *open;          /* gathers until the next flush */
     struct slab batches, readers;
     Pvoid_t busy;                /* Judy1 of row keys in promises */
+    Pvoid_t runLives;            /* JudyL: row key -> the tenure that has its run */
+    Pvoid_t agentStations;       /* JudyL: agent -> station */
     int64_t planDue, planAtMs, pushMs, tickMs, forgetMs, watchMs;
     struct plan plan;            /* kept for its scratch */
     struct seat *seats;
--- a/src/dispatch/leader_stations.c
+++ b/src/dispatch/leader_stations.c
@@ -10,10 +10,11 @@
 
 struct station *station_of(struct dispatch *d, int64_t agent)
 {
-    for (int64_t i = 0; i < d->nStations; i++)
-        if (d->stations[i]->agent == agent)
-            return d->stations[i];
-    struct station *s = must_alloc(sizeof *s);
+    PPvoid_t at;
+    JLI(at, d->agentStations, (Word_t)agent);
+    if (*at)
+        return *at;
+    struct station *s = *at = must_alloc(sizeof *s);
     *s = (struct station){.agent = agent, .slowPct = 100};
     *list_more(d->stations, d->nStations) = s;
     return s;
@@ -22,12 +23,10 @@
 struct station *station_of_life(struct dispatch *d, int64_t life)
 {
     const struct life *l = &d->record->lives[life];
-    for (int64_t i = 0; i < d->nStations; i++) {
-        struct station *s = d->stations[i];
-        if (s->agent == l->agent && s->present && s->executor.life && !strcmp(s->executor.life, l->name))
-            return s;
-    }
-    return NULL;
+    PPvoid_t at;
+    JLG(at, d->agentStations, (Word_t)l->agent);
+    struct station *s = at ? *at : NULL;
+    return s && s->present && s->executor.life && !strcmp(s->executor.life, l->name) ? s : NULL;
 }
 
 static void lists_free(struct station *s)
--- a/src/dispatch/record.c
+++ b/src/dispatch/record.c
@@ -123,6 +123,7 @@
     for (int64_t i = 0; i < record->nLives; i++)
         free(record->lives[i].name);
     free(record->lives);
+    JSLFA(freed, record->lifeNumbers);
     *record = (struct record){.changed = record->changed, .arg = record->arg};
 }
 
@@ -139,6 +140,18 @@
     return at ? *at : NULL;
 }
 
+int64_t record_life(const struct record *record, const char *name)
+{
+    PPvoid_t at = name ? JudySLGet(record->lifeNumbers, (const uint8_t *)name, PJE0) : NULL;
+    return at ? (int64_t)(Word_t)*at - 1 : -1;
+}
+
+void record_life_named(struct record *record, int64_t life)
+{
+    PPvoid_t at = JudySLIns(&record->lifeNumbers, (const uint8_t *)record->lives[life].name, PJE0);
+    *at = (Pvoid_t)(Word_t)(life + 1);
+}
+
 int64_t record_queue(const struct record *record, const char *name)
 {
     for (int64_t i = 0; name && i < record->nQueues; i++)
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -93,6 +93,7 @@
     int64_t nJobs, nLive, nextIndex;
     struct life *lives;
     int64_t nLives;
+    Pvoid_t lifeNumbers;         /* JudySL: name -> index into lives, and 1 */
     void (*changed)(void *arg, struct job *job, int64_t no);
     void *arg;
 };
@@ -108,6 +109,7 @@
 int record_restore(struct record *record, const struct bytes *from);   /* record is empty or as started */
 
 struct job *record_job(const struct record *record, int64_t id);
+int64_t record_life(const struct record *record, const char *name);    /* -1: never known, or reused since */
 int64_t record_queue(const struct record *record, const char *name);   /* -1: never known */
 /* Done, failed or cancelled; rows may still be there, see struct job. */
 int job_over(const struct job *job);
--- a/src/dispatch/record_digest.c
+++ b/src/dispatch/record_digest.c
@@ -250,6 +250,7 @@
         struct life *life = list_more(record->lives, record->nLives);
         *life = (struct life){.name = head.lives[i].name, .agent = head.lives[i].agent};
         head.lives[i].name = NULL;
+        record_life_named(record, record->nLives - 1);
     }
     int64_t nJobs = head.nJobs, nLive = head.nLive;
     shape_free(&headFormShape, &head);
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -170,23 +170,21 @@
 
 static int64_t life_of(struct record *record, const char *name, int64_t agent)
 {
-    int64_t at = -1;
-    for (int64_t i = 0; i < record->nLives; i++) {
-        if (!strcmp(record->lives[i].name, name)) {
+    int64_t at = record_life(record, name);
+    for (int64_t i = 0; i < record->nLives && at < 0; i++)
+        if (!record->lives[i].placed)
             at = i;
-            break;
-        }
-        if (at < 0 && !record->lives[i].placed)
-            at = i;
-    }
     if (at < 0) {
         list_more(record->lives, record->nLives);
         at = record->nLives - 1;
     }
     struct life *life = &record->lives[at];
     if (!life->name || strcmp(life->name, name)) {
+        if (life->name)
+            JudySLDel(&record->lifeNumbers, (const uint8_t *)life->name, PJE0);
         free(life->name);
         life->name = must_dup(name);
+        record_life_named(record, at);
     }
     life->agent = agent;
     return at;
