Ends are told as committed at once, and not looked for before

Change: what is committed up to which number is reckoned when orders are made and told as soon as a commit moves it; agents look again when it has moved, or after 80 ms.

--- a/src/agent/agent_calls.c
+++ b/src/agent/agent_calls.c
@@ -290,7 +290,7 @@
     else if (life->left)
         need.dueMs = life->lookDoneMs + LEFT_LOOK_MS;
     else if (need.busy)
-        need.dueMs = paced;
+        need.dueMs = life->nEnded && paced < life->lookDoneMs + UNSEEN_MS ? life->lookDoneMs + UNSEEN_MS : paced;
     else if (life->seen > life->seenTold)
         need.dueMs = life->seenRaisedMs + SEEN_MS;
     else
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -16,6 +16,7 @@
     RENEW_MS = 900,              /* a look is to be back so long before the hold ends */
     RENEW_GAIN_MS = 150,         /* an expiry is renewed if it gains as much */
     PACE_MS = 20,                /* after a look, so that several ends come in one */
+    UNSEEN_MS = 80,              /* while ends wait to be committed a look would come back at once */
     PROVE_MS = 20,               /* from the answer to a stop to the look that shows its end */
     SEEN_MS = 300,               /* seen is told so soon where nothing runs */
     IDLE_LOOK_MS = 5000,
--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -139,6 +139,9 @@
         if (t->runs[i].job != job || t->runs[i].no != no)
             continue;
         run_room(d, &t->runs[i], -1);
+        struct station *s = t->runs[i].endSeq ? station_of_life(d, t->runs[i].life) : NULL;
+        if (s)
+            s->dirty = 1;        /* that its end is committed is told at once: fewer looks */
         t->runs[i] = t->runs[--t->n];
         return;
     }
--- a/src/dispatch/leader_asks.c
+++ b/src/dispatch/leader_asks.c
@@ -5,6 +5,7 @@
 
 #include "base/problem.h"
 #include "dispatch/leader_state.h"
+#include "rules/rules_view.h"
 
 static void wait_for(struct dispatch *d, int64_t ticket, int64_t kind)
 {
@@ -68,6 +69,23 @@
     wait_for(d, ticket, ask->kind);
 }
 
+static void ask_rules(struct dispatch *d, int64_t ticket, const struct door_ask *ask)
+{
+    struct record_op *op = dispatch_op(d, OP_RULES);
+    op->rules = must_alloc(sizeof *op->rules);
+    shape_copy(&rulesChangeShape, op->rules, ask->rules);
+    wait_for(d, ticket, ask->kind);
+}
+
+/* Rules, what an outlet made of them, or what a job runs under. */
+static void answer_rules(struct dispatch *d, int64_t ticket, const struct door_ask *ask)
+{
+    struct door_answer answer = {.kind = ask->kind};
+    rules_answer(d->record, ask, &answer);
+    d->calls.answer(d->calls.arg, ticket, &answer);
+    bytes_free(&answer.raw);
+}
+
 static void answer_count(struct dispatch *d, int64_t ticket, const struct door_ask *ask)
 {
     const struct queue_config *queue = queue_asked(d, ticket, ask);
@@ -126,6 +144,8 @@
             dispatch_answer(d, ticket, ask->kind, P_GATE, "no configuration yet");
     } else if (ask->kind == ASK_WHY) {
         answer_why(d, ticket, ask);
+    } else if (ask->kind == ASK_RULES_GET || ask->kind == ASK_RULES_JOB) {
+        answer_rules(d, ticket, ask);
     } else {
         struct job *job = job_asked(d, ticket, ask);
         struct door_answer answer = {.kind = ask->kind, .state = job ? job->state : 0};
@@ -188,10 +208,13 @@
     case ASK_JOB: ask_job(d, ticket, ask); return;
     case ASK_CANCEL: ask_cancel(d, ticket, ask); return;
     case ASK_CONFIG_PUT: ask_config(d, ticket, ask); return;
+    case ASK_RULES_PUT: ask_rules(d, ticket, ask); return;
     case ASK_STATE:
     case ASK_COUNT_WAITING:
     case ASK_CONFIG_GET:
-    case ASK_WHY: break;
+    case ASK_WHY:
+    case ASK_RULES_GET:
+    case ASK_RULES_JOB: break;
     default: dispatch_answer(d, ticket, ask->kind, P_NO_SUCH, NULL); return;
     }
     int64_t tag;
--- a/src/dispatch/leader_orders.c
+++ b/src/dispatch/leader_orders.c
@@ -31,7 +31,7 @@
     int leads = d->calls.leads(d->calls.arg);
     struct agent_orders o = {.epoch = d->epoch, .number = ++d->ordersNo, .leaseMs = d->params.leaseMs,
                              .leader = (int64_t)d->w->self,
-                             .life = s->present ? s->executor.life : NULL, .seen = s->seen,
+                             .life = s->present ? s->executor.life : NULL,
                              .drainSeen = s->executor.draining,
                              .paceMs = d->plan.blocked ? PACE_BUSY_MS : PACE_CALM_MS, .stops = s->zombies, .nStops = s->nZombies,
                              .endsSeen = s->absent, .nEndsSeen = s->nAbsent, .livesSeen = s->lostLives,
@@ -40,6 +40,8 @@
     if (life >= 0 && (life >= d->nTenures || d->record->lives[life].agent != s->agent))
         life = -1;
     s->dirty = 0;
+    if (life >= 0 || s->present)
+        o.seen = station_seen(d, s, life);
     s->zombies = NULL, s->nZombies = 0;
     if (stampMs && leads && (!s->present || s->executor.silentMs < GRANT_SILENT_MS)) {
         o.stampMs = stampMs;
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -29,6 +29,7 @@
     struct job *job;
     int64_t no, task, attempt, life;
     int64_t placedMs, sentMs, stopSentMs, seenMs, startedMs, percent, percentMs;
+    int64_t endSeq;              /* the executor's number of its end, 0: none was told */
     int stopping, ending, known, refused, holds;
 };
 
@@ -49,7 +50,8 @@
     char **lostLives;
     int64_t nLostLives;
     struct run_ref *zombies;     /* run there although no row says so: to be stopped */
-    int64_t nZombies, seen;
+    int64_t nZombies;
+    int64_t seen, newestSeq;     /* ends told to be committed; the newest number in its report */
     struct run_ref *absent;      /* told by the agent, to be confirmed */
     int64_t nAbsent;
 };
@@ -135,6 +137,7 @@
 int station_open(const struct dispatch *d, const struct station *s);
 void station_judge(struct dispatch *d, struct station *s, int64_t bad, int64_t weight);
 void station_free(struct station *s);
+int64_t station_seen(const struct dispatch *d, struct station *s, int64_t life);
 
 /* leader_orders.c */
 void orders_send(struct dispatch *d, struct station *s, int64_t stampMs);
--- a/src/dispatch/leader_stations.c
+++ b/src/dispatch/leader_stations.c
@@ -97,22 +97,34 @@
         s->slowPct = 30;
 }
 
+/* Up to which number all ends are in the record, so that the executor may forget them. */
+int64_t station_seen(const struct dispatch *d, struct station *s, int64_t life)
+{
+    int64_t seen = s->newestSeq;
+    for (int64_t i = 0; life >= 0 && i < d->tenures[life].n; i++) {
+        int64_t seq = d->tenures[life].runs[i].endSeq;
+        if (seq && seq <= seen)
+            seen = seq - 1;
+    }
+    if (seen > s->seen)
+        s->seen = seen;
+    return s->seen;
+}
+
 static void take_ends(struct dispatch *d, struct station *s, int64_t life, const struct agent_report *r)
 {
-    int64_t waiting = INT64_MAX, newest = 0;
     for (int64_t i = 0; i < r->nEnded; i++) {
         const struct run_ended *e = &r->ended[i];
         struct run_ref ref = {.job = e->job, .task = e->task, .attempt = e->attempt};
         struct run *run = run_find(d, life, &ref);
-        if (e->seq > newest)
-            newest = e->seq;
+        if (e->seq > s->newestSeq)
+            s->newestSeq = e->seq;
         if (!run) {
             if (!e->seq)
                 *list_more(s->absent, s->nAbsent) = ref;
             continue;
         }
-        if (e->seq && e->seq < waiting)
-            waiting = e->seq;
+        run->endSeq = e->seq;
         if (run->ending)
             continue;
         if (e->how == END_DONE)
@@ -121,9 +133,6 @@
             station_judge(d, s, e->how == END_FAILED, 1);
         run_end(d, run, e->how, e->saved);
     }
-    int64_t seen = waiting == INT64_MAX ? newest : waiting - 1;
-    if (seen > s->seen)
-        s->seen = seen;
 }
 
 static void take_active(struct dispatch *d, struct station *s, int64_t life, const struct agent_report *r)
@@ -199,7 +208,7 @@
     int fresh = !s->present || !r->present || !s->executor.life || strcmp(s->executor.life, r->executor.life);
     if (fresh) {
         s->cpuReserved = s->memoryReserved = s->gpusReserved = 0;
-        s->seen = 0;
+        s->seen = s->newestSeq = 0;
         s->slowPct = 100;
         s->badPct = s->shunUntilMs = 0;
         d->planDue = 1;
