Executors that are commanded by their beats

Change: a beat is the answer to a look sent when the beat before was answered; starts, stops, what is seen, fence and hold go out in its answer; an absent run is proven by two stops and a later beat. The way of calling is untouched.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -20,6 +20,7 @@
 /* Answers that are still to come find nothing any more only if the world drops them: free it last. */
 void agent_free(struct agent *a)
 {
+    a->life.beat.open = 0;               /* the door has ended it */
     agent_life_end(a);
     shape_free(&executorBeatShape, &a->candidate);
     for (int64_t i = 0; i < OVER_LIVES; i++)
@@ -61,9 +62,11 @@
 {
     if (!a->leaving || a->left)
         return;
+    if (a->life.beat.open)
+        a->life.beat.dueMs = now;
     if (!a->lastLookDueMs) {
         if (!runs(a))
-            a->left = 1;
+            a->left = !a->life.beat.open;
         else if (now >= a->leaveMs + a->setup.graceMs - LEAVE_SPARE_MS)
             a->lastLookDueMs = now;
     } else if (now >= a->lastLookDueMs + LAST_LOOK_MS) {
--- a/src/agent/agent_beats.c
+++ b/src/agent/agent_beats.c
@@ -23,6 +23,7 @@
 void agent_life_end(struct agent *a)
 {
     struct agent_life *life = &a->life;
+    agent_beat_close(a);
     struct executor_answer lists = {
         .active = life->active, .nActive = life->nActive, .ended = life->ended, .nEnded = life->nEnded};
     shape_free(&executorAnswerShape, &lists);
@@ -70,16 +71,17 @@
     drop_candidate(a);
 }
 
-static void renew_state(struct agent *a, struct executor_state *state, int64_t *seq, struct executor_beat *beat)
+static int renew_state(struct agent *a, struct executor_state *state, int64_t *seq, struct executor_beat *beat)
 {
     if (beat->seq <= *seq)
-        return;
+        return 0;
     *seq = beat->seq;
     if (state->draining != beat->state.draining)
         a->news = 1;
     shape_free(&executorStateShape, state);
     *state = beat->state;
     beat->state = (struct executor_state){0};
+    return 1;
 }
 
 static void left(struct agent *a, const char *life, int64_t now)
@@ -93,19 +95,25 @@
     world_note(a->w, EV_EXECUTOR_LEAVING, "%s", life);
 }
 
-static void take_beat(struct agent *a, struct executor_beat *beat, int64_t now)
+/* Returns whether it is the newest beat of the life that is spoken with. */
+static int take_beat(struct agent *a, struct executor_beat *beat, int64_t now)
 {
     const char *life = beat->state.life;
+    int newest = 0;
     if (!life || is_over(a, life))
-        return;
+        return 0;
     if (beat->kind == BEAT_LEFT) {
         left(a, life, now);
     } else if (a->life.present && !strcmp(a->life.state.life, life)) {
         int64_t hasLeft = a->life.left;
-        renew_state(a, &a->life.state, &a->life.beatSeq, beat);
+        newest = renew_state(a, &a->life.state, &a->life.beatSeq, beat);
         a->life.state.draining |= hasLeft;
-    } else if (!a->life.present && !a->candidate.state.life) {
+    } else if (a->setup.byBeat || (!a->life.present && !a->candidate.state.life)) {
+        /* only the executor itself sends beats here: what beats under a new name took the place */
+        if (a->life.present)
+            agent_life_over(a, a->life.state.life);
         become(a, beat);
+        newest = 1;
     } else if (a->candidate.state.life && !strcmp(a->candidate.state.life, life)) {
         renew_state(a, &a->candidate.state, &a->candidate.seq, beat);
     } else {
@@ -113,6 +121,7 @@
         a->candidate = *beat;
         *beat = (struct executor_beat){0};
     }
+    return newest;
 }
 
 void agent_ask(struct agent *a, int64_t slot, const struct web_ask *web)
@@ -125,8 +134,11 @@
     answer.kind = ask.kind;
     if (!answer.problem && ask.kind != ASK_BEAT)
         answer.problem = P_NO_SUCH;
-    if (!answer.problem)
-        take_beat(a, &ask.beat, world_ms(a->w));
+    if (!answer.problem && take_beat(a, &ask.beat, world_ms(a->w)) && a->setup.byBeat) {
+        agent_beat_taken(a, slot, &ask.beat.account, world_ms(a->w));
+        shape_free(&doorAskShape, &ask);
+        return;
+    }
     int status = 0;
     char *body = NULL;
     dialect->write(&answer, &status, &body);
--- a/src/agent/agent_calls.c
+++ b/src/agent/agent_calls.c
@@ -29,7 +29,7 @@
 }
 
 /* The whole list is shown anew each time; ends only come on top of those we know. */
-static void take_lists(struct agent *a, struct executor_answer *answer)
+void agent_lists_take(struct agent *a, struct executor_answer *answer)
 {
     struct agent_life *life = &a->life;
     struct executor_task *active = life->active;
@@ -64,7 +64,7 @@
     if (ask->epoch != a->epoch)
         return;
     int whole = answer->nEnded < ENDED_MOST;
-    take_lists(a, answer);
+    agent_lists_take(a, answer);
     if (!life->ready)
         life->ready = a->news = 1;
     agent_works_shown(a, ask->number, whole, now);
@@ -361,6 +361,10 @@
 void agent_calls_step(struct agent *a, int64_t now)
 {
     struct agent_life *life = &a->life;
+    if (a->setup.byBeat) {
+        agent_beat_step(a, now);
+        return;
+    }
     call_probe(a, now);
     if (!life->present || !a->epoch || a->fencedEpoch >= a->epoch)
         return;
--- a/src/agent/agent_lease.c
+++ b/src/agent/agent_lease.c
@@ -31,7 +31,8 @@
         over = left > 0 ? left * 100 / SLOW_PCT + 1 + OVER_MARGIN_MS : 0;
     }
     /* what an earlier process of ours sent is over once the longest hold has passed since we began */
-    int64_t inherited = a->startedMs + a->setup.holdMaxMs * 100 / SLOW_PCT + OVER_MARGIN_MS - now;
+    int64_t takenMs = a->setup.byBeat ? BEAT_TAKEN_MS : 0;
+    int64_t inherited = a->startedMs + takenMs + a->setup.holdMaxMs * 100 / SLOW_PCT + OVER_MARGIN_MS - now;
     return inherited > over ? inherited : over;
 }
 
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -30,8 +30,16 @@
     LEFT_LOOK_MS = 200,
     INHERIT_MS = 20000,          /* calls of an earlier process of ours may still be carried out */
     CLOSED_MS = 30000,           /* acknowledged refusals are remembered against late orders */
-    LAST_LOOK_MS = 800, LEAVE_SPARE_MS = 1500,
+    LAST_LOOK_MS = 800, LAST_LOOK_LINGER_MS = 100, LEAVE_SPARE_MS = 1500,
     ENDED_MOST = 500,            /* a look may show no more ends than this */
+    BEAT_TAKEN_MS = 1000,        /* a beat's answer counts only so soon after it was sent */
+    BEAT_PROMPT_MS = 900,        /* answered so soon it is sure to count */
+    BEAT_OPEN_MS = 20,           /* an answer waits so long for orders */
+    BEAT_IDLE_MS = 600,          /* where nothing runs */
+    BEAT_RETRY_MS = 50,          /* from an answer to the next beat */
+    BEAT_SILENT_MS = 700,        /* no beat so long after it was due: silent */
+    START_TELLS = 2, STOP_TELLS = 2,         /* answers that counted, until it is taken for turned away, or for told */
+    START_AGAIN_MS = 300,        /* between two such of a start */
     SLOW_PCT = 98,               /* the executor's clock may run at so much of true time */
     OVER_MARGIN_MS = 50,
     OVER_LIVES = 32
@@ -57,6 +65,7 @@
     int64_t state, reason, closedAbsent;
     int64_t underWay;            /* number of the call whose answer settles it, 0: none */
     int64_t doubt, sick, dueMs, retryMs, answeredNo, answeredMs, untilMs;
+    int64_t told, tells;         /* by beats: in the newest answer; in how many that counted */
 };
 
 enum call_kind { CALL_FREE, CALL_START, CALL_STOP, CALL_LOOK, CALL_PROBE };
@@ -68,6 +77,14 @@
     struct run_ref run;
 };
 
+/* Of an executor that is commanded by its beats. slot: of the beat not answered yet, while open. Invariant:
+ * until the next beat, answered tells whether the newest one's answer carried orders, and epoch under which. */
+struct agent_beat {
+    int64_t open, slot, dueMs;
+    int64_t clockMs, takenMs;                      /* what the newest beat said, and when */
+    int64_t answered, answeredMs, epoch, seen;
+};
+
 /* The executor's life that is spoken with. Invariants: clockMs was its clock at the latest at
  * clockAtMs; sentExpiryMs is the largest expiry in any call ever sent to it, heldMs the largest
  * in an answered one (both on its clock); seen never falls and is only what the leader said. */
@@ -84,6 +101,7 @@
     int64_t nActive;
     struct executor_task *ended;                   /* by rising seq, all above seen */
     int64_t nEnded;
+    struct agent_beat beat;
 };
 
 struct agent {
@@ -125,6 +143,7 @@
 
 /* agent_calls.c */
 void agent_calls_step(struct agent *a, int64_t now);
+void agent_lists_take(struct agent *a, struct executor_answer *answer);
 const struct executor_task *agent_find(const struct executor_task *tasks, int64_t n, int64_t job, int64_t task,
                                        int64_t attempt);
 
@@ -146,6 +165,11 @@
 void agent_candidate_answered(struct agent *a);
 void agent_life_end(struct agent *a);
 
+/* agent_by_beat.c: where the executor is commanded by its beats */
+void agent_beat_taken(struct agent *a, int64_t slot, struct executor_answer *account, int64_t now);
+void agent_beat_step(struct agent *a, int64_t now);                   /* answers it once there is something to say */
+void agent_beat_close(struct agent *a);                               /* answers it with nothing */
+
 /* agent_report.c */
 void agent_report_send(struct agent *a, int64_t to, int64_t now);
 void agent_orders_take(struct agent *a, const struct agent_orders *orders, int64_t now);
--- a/src/agent/agent_works.c
+++ b/src/agent/agent_works.c
@@ -32,7 +32,7 @@
     work->state = WORK_STOP;
     work->underWay = 0;          /* what a start under way answers settles nothing any more */
     work->dueMs = now;
-    work->retryMs = 0;
+    work->retryMs = work->told = work->tells = 0;
 }
 
 void agent_work_refused(struct agent *a, struct work *work, int64_t reason)
--- a/src/agent/dialect_shapes.c
+++ b/src/agent/dialect_shapes.c
@@ -17,5 +17,6 @@
 
 static const struct field beatFields[] = {
     INT(executor_beat, kind), INT(executor_beat, seq), STR(executor_beat, address),
-    SUB(executor_beat, state, executorStateShape)};
+    SUB(executor_beat, state, executorStateShape),
+    SUB(executor_beat, account, executorAnswerShape)};
 SHAPE(executorBeatShape, executor_beat, beatFields);
--- a/src/agent/executor_dialect.h
+++ b/src/agent/executor_dialect.h
@@ -23,6 +23,15 @@
 };
 extern const struct shape executorCallShape, executorTaskShape, executorAnswerShape;
 
+/* What an executor that is commanded by its beats is told in the answer to one. holdMs: a span from
+ * when it takes the answer, 0: renews nothing; retryMs: how soon it beats again. Lists are borrowed. */
+struct beat_orders {
+    int64_t epoch, seen, holdMs, retryMs;
+    const struct run_start **starts;
+    const struct run_start **stops;
+    int64_t nStarts, nStops;
+};
+
 struct executor_dialect {
     void (*start)(struct executor_call *call, const char *life, const struct run_start *start, int64_t expiresMs,
                   int64_t epoch);
@@ -32,6 +41,7 @@
                  int64_t waitMs);
     /* 0, or a problem where the body cannot be read; answer must be zeroed */
     int (*read)(struct executor_answer *answer, int status, const char *body, int64_t len);
+    char *(*beat_answer)(const struct beat_orders *orders);      /* the body, owned */
 };
 
 /* What an executor says of itself when it calls us (a beat), or that it leaves. */
@@ -40,6 +50,7 @@
     int64_t kind, seq;                       /* seq rises with every call of one life */
     char *address;
     struct executor_state state;
+    struct executor_answer account;          /* clockMs 0 or -1: it said none; lists where beats command it */
 };
 extern const struct shape executorBeatShape;
 #endif
--- /dev/null
+++ b/tests/unit/agent_beat_test.cc
@@ -0,0 +1,329 @@
+// An executor that is commanded in the answers to its beats.
+#include "agent_rig.h"
+
+using namespace agent_rig;
+
+namespace {
+
+// Beats go out one after the other; taken says whether an answer reaches the executor.
+struct BeatRig : Rig {
+    int64_t seq = 0, out = 0, outMs = 0, nextMs = 0, draining = 0, tellsStart = 0, tellsStop = 0, lastHold = 0;
+    bool beats = true;
+    std::function<bool()> taken = [] { return true; };
+
+    BeatRig() : Rig(true)
+    {
+        after = [this] { move_beats(); };
+    }
+    void send_beat()
+    {
+        out = slot = ++seq;
+        outMs = now;
+        beat(ex.life, seq, draining, BEAT_ALIVE, "beat", ex.lists(0));
+    }
+    void carry_orders(const std::string &body)
+    {
+        std::istringstream in(body);
+        int64_t epoch = 0, seenNow = 0, hold = 0, retry = 1500, n = 0, waits = 0, job, task, attempt;
+        nextMs = now + retry;
+        if (!(in >> epoch >> seenNow >> hold >> retry >> n))
+            return;
+        nextMs = now + std::max<int64_t>(retry, 50);
+        lastHold = hold;
+        ex.carry_out("look", words({epoch, seenNow, hold ? ex.now() + hold : 0, 0}), waits);
+        for (; n > 0 && in >> job >> task >> attempt; n--, tellsStart++)
+            ex.carry_out("start", words({epoch, ex.now() + hold, job, task, attempt}), waits);
+        for (in >> n; n > 0 && in >> job >> task >> attempt; n--, tellsStop++)
+            ex.carry_out("stop", words({epoch, job, task, attempt}), waits);
+    }
+    void move_beats()
+    {
+        if (out && answers.count(out)) {
+            std::string body = answers[out];
+            out = 0;
+            nextMs = now + 50;
+            if (executorUp && taken())
+                carry_orders(body);
+        } else if (out && now - outMs >= 1000) {
+            out = 0;
+        }
+        if (!out && beats && executorUp && now >= nextMs)
+            send_beat();
+    }
+    void ready()
+    {
+        orders();
+        run(300);
+        ASSERT_TRUE(last->r.ready);
+    }
+    void settled()
+    {
+        ready();
+        run(21000);                  // beyond what an earlier process may have told
+    }
+};
+
+}  // namespace
+
+TEST(AgentByBeat, starts_what_it_is_ordered_once_and_calls_nothing)
+{
+    BeatRig rig;
+    rig.ready();
+    rig.start(1, 1);
+    rig.run(400);
+    rig.start(1, 1);
+    rig.run(2000);
+    EXPECT_TRUE(rig.is_active(1, 1));
+    EXPECT_EQ(rig.ex.starts, std::vector<std::string>{"1.1"});
+    EXPECT_EQ(rig.tellsStart, 1);
+    EXPECT_TRUE(rig.sent.empty());
+}
+
+TEST(AgentByBeat, idle_beats_wait_for_orders)
+{
+    BeatRig rig;
+    rig.settled();
+    int64_t before = rig.seq;
+    rig.run(6500);
+    EXPECT_LE(rig.seq - before, 11);
+    while (!rig.out)
+        rig.run(1);
+    rig.start(1, 1);
+    rig.run(2);
+    EXPECT_EQ(rig.ex.starts.size(), 1u);
+}
+
+TEST(AgentByBeat, ends_are_told_and_seen)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.start(1, 1);
+    rig.run(200);
+    rig.ex.end({1, 1}, END_DONE);
+    rig.run(120);
+    EXPECT_EQ(rig.how_ended(1), END_DONE);
+    EXPECT_EQ(rig.ex.lastSeen, 0);
+    rig.seen = 1;
+    rig.orders();
+    rig.run(120);
+    EXPECT_EQ(rig.ex.lastSeen, 1);
+    rig.run(500);                    // the next report
+    EXPECT_EQ(rig.r().nEnded, 0);
+}
+
+TEST(AgentByBeat, what_was_lost_is_told_again)
+{
+    BeatRig rig;
+    rig.settled();
+    int lost = 3;
+    rig.taken = [&] { return lost-- <= 0; };
+    rig.start(1, 1);
+    rig.run(1000);
+    EXPECT_TRUE(rig.is_active(1, 1));
+    EXPECT_EQ(rig.ex.starts.size(), 1u);
+    rig.stop(1, 1);
+    rig.run(600);
+    EXPECT_EQ(rig.how_ended(1), END_STOPPED);
+}
+
+TEST(AgentByBeat, a_start_that_never_shows_ends_absent)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.ex.room = 0;
+    rig.start(1, 1);
+    rig.run(250);
+    EXPECT_TRUE(rig.is_pending(1));
+    EXPECT_EQ(rig.how_ended(1), 0);
+    rig.run(1200);
+    EXPECT_EQ(rig.how_ended(1), END_ABSENT);
+    EXPECT_EQ(rig.tellsStart, 2);
+    rig.ex.room = 5;
+    rig.ends_seen(1, 1);
+    rig.start(1, 1);
+    rig.run(500);
+    EXPECT_TRUE(rig.ex.starts.empty());
+}
+
+TEST(AgentByBeat, absent_is_proven_by_answers_that_counted)
+{
+    BeatRig rig;
+    rig.settled();
+    bool reaches = false;
+    rig.taken = [&] { return reaches; };
+    rig.beats = false;
+    rig.run(1500);
+    rig.stop(1, 1);
+    rig.run(3000);
+    EXPECT_EQ(rig.how_ended(1), 0) << "no beat";
+    // this process stood still: several beats, each given up by the executor, are found at once
+    for (int i = 0; i < 4; i++) {
+        rig.ex.clock += 1000;
+        rig.send_beat();
+        agent_flush(rig.a);
+    }
+    agent_flush(rig.a);
+    rig.out = 0;
+    EXPECT_EQ(rig.how_ended(1), 0);
+    EXPECT_TRUE(rig.is_pending(1));
+    reaches = rig.beats = true;
+    rig.run(500);
+    EXPECT_EQ(rig.how_ended(1), END_ABSENT);
+    EXPECT_EQ(rig.ex.barred[Key(1, 1)], 1);
+}
+
+TEST(AgentByBeat, draining_starts_nothing)
+{
+    BeatRig rig;
+    rig.settled();
+    while (rig.out)
+        rig.run(1);
+    rig.draining = 1;
+    rig.start(1, 1);                 // its beat is on its way already
+    rig.run(1000);
+    EXPECT_TRUE(rig.ex.starts.empty());
+    EXPECT_EQ(rig.tellsStart, 0);
+    EXPECT_EQ(rig.refusal(1), REFUSED_ROOM);
+}
+
+TEST(AgentByBeat, a_new_life_ends_the_old_and_late_beats_do_not_count)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.start(1, 1);
+    rig.run(300);
+    std::string old = rig.ex.lists(0);
+    rig.ex = Executor();
+    rig.ex.life = "B";
+    rig.run(1300);
+    EXPECT_TRUE(rig.lost("A"));
+    EXPECT_STREQ(rig.r().executor.life, "B");
+    EXPECT_TRUE(rig.r().ready);
+    rig.slot = 100000;
+    rig.beat("A", 100000, 0, BEAT_ALIVE, "beat", old);
+    EXPECT_EQ(rig.answers[100000], "");
+    rig.run(300);
+    EXPECT_STREQ(rig.r().executor.life, "B");
+    EXPECT_FALSE(rig.is_active(1, 1));
+}
+
+TEST(AgentByBeat, older_beats_of_the_life_do_not_count)
+{
+    BeatRig rig;
+    rig.settled();
+    std::string before = rig.ex.lists(0);
+    rig.start(1, 1);
+    rig.run(300);
+    rig.slot = 100000;
+    rig.beat("A", 1, 0, BEAT_ALIVE, "beat", before);
+    rig.run(20);
+    EXPECT_TRUE(rig.is_active(1, 1));
+    EXPECT_EQ(rig.answers[100000], "");
+}
+
+TEST(AgentByBeat, ready_once_a_beat_follows_the_new_fence)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.start(1, 1);
+    rig.run(300);
+    rig.taken = [] { return false; };
+    rig.beats = false;
+    rig.run(200);
+    rig.epoch = 4;
+    rig.start(2, 1);
+    rig.run(200);
+    EXPECT_FALSE(rig.r().ready);
+    rig.taken = [] { return true; };
+    rig.beats = true;
+    rig.run(250);
+    EXPECT_TRUE(rig.r().ready);
+    EXPECT_EQ(rig.ex.fence, 4);
+    EXPECT_EQ(rig.ex.starts.size(), 2u);
+    rig.run(500);                    // the next report
+    EXPECT_TRUE(rig.is_active(2, 1));
+}
+
+TEST(AgentByBeat, holds_end_before_the_grant_and_are_told_of)
+{
+    for (int64_t delay : {0, 300, 950}) {
+        BeatRig rig;
+        rig.ex.rate = 0.98;
+        rig.settled();
+        rig.start(1, 1);
+        rig.run(3000);
+        ASSERT_TRUE(rig.is_active(1, 1));
+        rig.grant = false;
+        int64_t answeredAt = 0;
+        rig.after = [&] {            // the executor takes each answer late
+            if (rig.out && rig.answers.count(rig.out) && !answeredAt)
+                answeredAt = rig.now;
+            if (!answeredAt || rig.now >= std::min(answeredAt + delay, rig.outMs + 999)) {
+                rig.move_beats();
+                answeredAt = 0;
+            }
+        };
+        int64_t overAt = rig.now + rig.r().executor.overMs;
+        for (int i = 0; i < 9000 && !rig.ex.lapsedAt; i++) {
+            overAt = std::max(overAt, rig.r().stampMs + rig.r().executor.overMs);
+            rig.run(1);
+        }
+        EXPECT_GT(rig.ex.lapsedAt, 0);
+        EXPECT_LE(rig.ex.lapsedAt, rig.grantedAt + LEASE);
+        EXPECT_LE(rig.ex.lapsedAt, overAt);
+    }
+}
+
+TEST(AgentByBeat, no_start_without_a_lease_and_none_is_told_of_later)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.grant = false;
+    rig.run(LEASE + 100);
+    rig.start(1, 1);
+    rig.run(1000);
+    EXPECT_TRUE(rig.ex.starts.empty());
+    EXPECT_EQ(rig.how_ended(1), END_ABSENT);
+}
+
+TEST(AgentByBeat, silence_is_told_and_one_that_left_is_over)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.start(1, 1);
+    rig.run(300);
+    rig.beats = false;
+    rig.run(1000);
+    EXPECT_GT(rig.r().executor.silentMs, 600);
+    rig.beats = true;
+    rig.run(300);
+    EXPECT_EQ(rig.r().executor.silentMs, 0);
+    rig.beats = false;
+    rig.run(200);
+    rig.slot = 100000;
+    rig.beat("A", 100000, 0, BEAT_LEFT);
+    EXPECT_EQ(rig.answers.count(100000), 1u);
+    rig.run(400);
+    EXPECT_FALSE(rig.lost("A"));
+    rig.run(3000);
+    EXPECT_TRUE(rig.lost("A"));
+}
+
+TEST(AgentByBeat, a_leaving_agent_holds_what_runs_and_goes)
+{
+    BeatRig rig;
+    rig.settled();
+    rig.start(1, 1);
+    rig.run(300);
+    agent_leave(rig.a);
+    rig.run(4000);
+    EXPECT_FALSE(agent_left(rig.a));
+    rig.run(1000);
+    EXPECT_TRUE(agent_left(rig.a));
+    EXPECT_TRUE(rig.ex.active.count(Key(1, 1)));
+    BeatRig idle;
+    idle.settled();
+    agent_leave(idle.a);
+    idle.run(100);
+    EXPECT_TRUE(agent_left(idle.a));
+}
--- a/tests/unit/agent_executor.h
+++ b/tests/unit/agent_executor.h
@@ -77,9 +77,24 @@
     answer->ended = read_tasks(in, answer->nEnded);
     return 0;
 }
-const struct executor_dialect executorDialect = {dialect_start, dialect_stop, dialect_look, dialect_read};
+// "EPOCH SEEN HOLD RETRY N (JOB TASK ATTEMPT)... N (JOB TASK ATTEMPT)..."
+inline char *dialect_beat_answer(const struct beat_orders *o)
+{
+    std::string body = words({o->epoch, o->seen, o->holdMs, o->retryMs});
+    for (int list = 0; list < 2; list++) {
+        int64_t n = list ? o->nStops : o->nStarts;
+        body += words({n});
+        for (int64_t i = 0; i < n; i++) {
+            const struct run_start *run = list ? o->stops[i] : o->starts[i];
+            body += words({run->job, run->task, run->attempt});
+        }
+    }
+    return must_dup(body.c_str());
+}
+const struct executor_dialect executorDialect = {dialect_start, dialect_stop, dialect_look, dialect_read,
+                                                 dialect_beat_answer};
 
-// A beat is "KIND LIFE SEQ DRAINING".
+// A beat is "KIND LIFE SEQ DRAINING", and its lists as in an answer where it is commanded by them.
 inline int door_read(struct door_ask *ask, const struct web_ask *web, struct flaw *)
 {
     std::istringstream in(web->body);
@@ -93,7 +108,9 @@
     in >> kind >> life >> ask->beat.seq >> ask->beat.state.draining;
     ask->beat.kind = kind;
     ask->beat.state.life = must_dup(life.c_str());
-    return 0;
+    std::string lists;
+    std::getline(in, lists);
+    return lists.empty() ? 0 : dialect_read(&ask->beat.account, 200, lists.c_str(), 0);
 }
 inline void door_write(const struct door_answer *answer, int *status, char **body)
 {
--- a/tests/unit/agent_rig.h
+++ b/tests/unit/agent_rig.h
@@ -41,13 +41,19 @@
     int64_t epoch = 3, lateMs = 700, answered = 0, lastStatus = 0, seen = 0;
     int64_t grantedAt = 0;                       // true time of the newest report that was answered
     std::string leaderLife;                      // as the leader knows it
+    std::map<int64_t, std::string> answers;      // to beats, by slot
+    int64_t byBeat = 0, slot = 1;
 
     static Rig *of(struct world *w) { return static_cast<Rig *>(w); }
     static int64_t mono(struct world *w) { return of(w)->now; }
     static int64_t wall_ms(struct world *w) { return of(w)->wall; }
     static uint64_t random(struct world *) { return 4; }
     static void note(struct world *, int, const char *) {}
-    static void answer(struct world *w, int64_t, int status, int64_t, const char *) { of(w)->lastStatus = status; }
+    static void answer(struct world *w, int64_t slot, int status, int64_t, const char *body)
+    {
+        of(w)->lastStatus = status;
+        of(w)->answers[slot] = body;
+    }
     static void send(struct world *w, uint64_t to, struct blob *frame, int)
     {
         Rig *rig = of(w);
@@ -81,7 +87,7 @@
         rig->under.push_back(c);
     }
 
-    Rig() : world()
+    explicit Rig(bool commandedByBeats = false) : world(), byBeat(commandedByBeats)
     {
         table.mono_ms = mono;
         table.wall_ms = wall_ms;
@@ -112,6 +118,7 @@
         setup.holdMaxMs = HOLD_MAX;
         setup.stopTimeoutMs = 400;
         setup.graceMs = 6000;
+        setup.byBeat = byBeat;
         setup.dialect = &doorDialect;
         setup.executorDialect = &executorDialect;
         a = agent_new(this, &setup);
@@ -157,16 +164,16 @@
         orders([&](struct agent_orders &o) { o.endsSeen = &r, o.nEndsSeen = 1; });
     }
     void beat(const std::string &life, int64_t seq, int64_t draining = 0, int64_t kind = BEAT_ALIVE,
-              const char *path = "beat")
+              const char *path = "beat", const std::string &lists = "")
     {
         std::string body = std::to_string(kind) + " " + life + " " + std::to_string(seq) + " " +
-                           std::to_string(draining);
+                           std::to_string(draining) + (lists.empty() ? "" : " " + lists);
         struct web_ask web = {};
         web.method = "PUT";
         web.path = path;
         web.body = body.c_str();
         web.len = (int64_t)body.size();
-        agent_ask(a, 1, &web);
+        agent_ask(a, slot, &web);
     }
 
     void carry_out(Call &c)
