--- a/src/controller/door_shapes.c
+++ b/src/controller/door_shapes.c
@@ -3,7 +3,7 @@
 static const struct field doorAskFields[] = {
     INT(door_ask, kind), INT(door_ask, waitMs), STR(door_ask, host), STR(door_ask, path), INT(door_ask, job),
     INT(door_ask, base), SUB(door_ask, spec, jobAskedShape), SUB(door_ask, config, configShape),
-    SUB(door_ask, beat, executorBeatShape)};
+    SUB(door_ask, beat, executorBeatShape), PTR(door_ask, rules, rulesChangeShape)};
 SHAPE(doorAskShape, door_ask, doorAskFields);
 
 static const struct field doorAnswerFields[] = {
--- a/src/controller/relay.c
+++ b/src/controller/relay.c
@@ -50,7 +50,8 @@
 
 static int changes(const struct relay_ask *r)
 {
-    return r->ask.kind == ASK_JOB || r->ask.kind == ASK_CANCEL || r->ask.kind == ASK_CONFIG_PUT;
+    return r->ask.kind == ASK_JOB || r->ask.kind == ASK_CANCEL || r->ask.kind == ASK_CONFIG_PUT ||
+           r->ask.kind == ASK_RULES_PUT;
 }
 
 /* Gives it to whoever leads, if that is known. r may be gone afterwards. */
--- a/src/dispatch/job.c
+++ b/src/dispatch/job.c
@@ -7,6 +7,7 @@
 
 #include "base/problem.h"
 #include "dispatch/messages.h"
+#include "rules/rules.h"
 
 enum { REPEATS_MAX = 10000 };
 
@@ -19,8 +20,11 @@
 
 static const struct field jobSpecFields[] = {
     INT(job_spec, id), STR(job_spec, text), LIST(job_spec, steps, nSteps, stepAskedShape), INT(job_spec, repeats),
-    INT(job_spec, startMs), INT(job_spec, intervalMs)};
+    INT(job_spec, startMs), INT(job_spec, intervalMs), STR(job_spec, outlet)};
 SHAPE(jobAskedShape, job_spec, jobSpecFields);
+/* all but outlet, so that hashes of jobs without one stay as they were */
+const struct shape jobUnownedShape = {.name = "job_spec", .size = sizeof(struct job_spec), .fields = jobSpecFields,
+                                      .n = COUNT_OF(jobSpecFields) - 1};
 
 static const struct field queueConfigFields[] = {
     STR(queue_config, name), STR(queue_config, host), STR(queue_config, prefix), STR(queue_config, service),
@@ -78,6 +82,8 @@
     int64_t lastMs, tasks = 0;
     if (spec->text && strlen(spec->text) > SPEC_MAX)
         return flawed(flaw, P_TOO_LARGE, "a shorter text", "text");
+    if (spec->outlet && !outlet_name_good(spec->outlet))
+        return flawed(flaw, P_BAD_FIELD, "an outlet's name", "outlet");
     if (spec->nSteps < 1 || spec->nSteps > STEPS_MAX)
         return flawed(flaw, P_BAD_FIELD, "1 to 64 steps", "steps");
     if (spec->repeats < 0 || spec->repeats > REPEATS_MAX)
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -28,6 +28,7 @@
     struct step_spec *steps;
     int64_t nSteps;
     int64_t repeats, startMs, intervalMs;   /* repeats 0: once, now; else time k is due at startMs + k * intervalMs */
+    char *outlet;                /* whose work it is, see rules/rules.h; NULL: nobody's, or its queue says */
 };
 
 /* One queue. host and prefix say which requests reach it. */
@@ -52,7 +53,7 @@
     struct bytes raw;
 };
 
-extern const struct shape stepAskedShape, jobAskedShape, queueConfigShape, serviceConfigShape, configShape;
+extern const struct shape stepAskedShape, jobAskedShape, jobUnownedShape, queueConfigShape, serviceConfigShape, configShape;
 
 /* 0 or a problem, and where. What must hold of a job whatever dialect it came in. */
 int job_spec_check(const struct job_spec *spec, struct flaw *flaw);
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -14,7 +14,7 @@
     STALL_MS = 2500,         /* work that shows no progress for longer is moved */
     PLACES_MOST = 400,
     STATE_WAIT_MS = 100,     /* a state asked for waits so long for ends that came before it was asked */
-    PACE_BUSY_MS = 15,       /* while work waits for room, ends are looked for this often; */
+    PACE_BUSY_MS = 10,       /* while work waits for room, ends are looked for this often; */
     PACE_CALM_MS = 50,       /* else this often: looks are dear */
     JOBS_MOST = 4000,
     WALL_JUMP_MS = 200,      /* a time of day that moves more against the steady clock has jumped */
--- a/src/dispatch/plan.c
+++ b/src/dispatch/plan.c
@@ -74,7 +74,6 @@
  * handing in (or from its time) the whole job is in time. */
 static int64_t aim_ms(const struct record *record, const struct job *job, int64_t rest[STEPS_MAX])
 {
-    const struct queue_config *queue = &record->queues[job->queue].config;
     int64_t longest = 0;
     for (int64_t s = 0; s < job->spec.nSteps; s++)
         rest[s] = job->spec.steps[s].estimateMs;
@@ -87,7 +86,7 @@
         }
         longest = rest[s] > longest ? rest[s] : longest;
     }
-    int64_t aimMs = longest * queue->stretchPct / 100 + queue->targetMs;
+    int64_t aimMs = longest * JOB_RULED(record, job, stretchPct) / 100 + JOB_RULED(record, job, targetMs);
     return aimMs > 0 ? aimMs : 1;
 }
 
@@ -97,7 +96,7 @@
     const struct record *record = round->in->record;
     int64_t dueMs = job_due_ms(job, time), wallMs = round->in->wallMs;
     int64_t sinceMs = dueMs > job->acceptedMs ? dueMs : job->acceptedMs;
-    int64_t priority = record->queues[job->queue].config.priority;
+    int64_t priority = JOB_RULED(record, job, priority);
     round->entries = grown(round->entries, &round->capEntries, round->nEntries + 1, sizeof *round->entries);
     struct plan_entry *entry = &round->entries[round->nEntries++];
     *entry = (struct plan_entry){.job = job, .time = time, .step = step, .service = round->queueService[job->queue]};
@@ -110,6 +109,8 @@
                 break;
             }
     }
+    if (job->rules)
+        sinceMs = turns_since_ms(round, job, sinceMs);
     int64_t ageMs = wallMs > sinceMs ? wallMs - sinceMs : 0;
     int64_t risen = ageMs / (AGEING_AIMS * aimMs);
     entry->sinceMs = sinceMs;
@@ -138,25 +139,34 @@
     return x->step < y->step ? -1 : x->step > y->step;
 }
 
+static int64_t job_begins_ms(const struct plan_input *in, const struct job *job, int64_t time)
+{
+    int64_t dueMs = job_due_ms(job, time);
+    return dueMs ? dueMs - in->earlyMs * EARLY_PCT / 100 : 0;
+}
+
 void plan_round_begin(struct plan_round *round, const struct plan_input *in, int64_t *nextDueMs)
 {
     round->in = in;
     round->nEntries = 0;
     *nextDueMs = INT64_MAX;
     seats_begin(round);
+    turns_begin(round);
     for (struct job *job = in->record->oldest; job; job = job->next) {
         int64_t aimMs = 0, rest[STEPS_MAX];
+        if (job->rules && !turns_may_begin(round, job, job_begins_ms(in, job, 0) <= in->wallMs))
+            continue;            /* its outlet's rules let others go first */
         if (job_over(job))
             continue;            /* only here until what runs of it has ended */
         for (int64_t time = 0; job->rows && time < job->times; time++) {
-            int64_t beginMs = job_due_ms(job, time);
-            if (beginMs)
-                beginMs -= in->earlyMs * EARLY_PCT / 100;
+            int64_t beginMs = job_begins_ms(in, job, time);
             if (beginMs > in->wallMs) {
                 if (beginMs < *nextDueMs)
                     *nextDueMs = beginMs;
                 break;
             }
+            if (job->rules && !turns_open(round, job, time, nextDueMs))
+                continue;
             for (int64_t step = 0; step < job->spec.nSteps; step++) {
                 if (job->waiting[time * job->spec.nSteps + step] <= 0 || !job_step_begins(job, time, step))
                     continue;
@@ -177,6 +187,8 @@
     free(round->queueService);
     free(round->lifeSeat);
     free(round->rows);
+    free(round->outletRuns);
+    turns_free(round);
     *round = (struct plan_round){.in = NULL};
 }
 
@@ -282,7 +294,7 @@
 static void note_blocked(struct plan *plan, const struct plan_entry *entry, int64_t n)
 {
     struct plan_round *round = plan->round;
-    int64_t priority = round->in->record->queues[entry->job->queue].config.priority;
+    int64_t priority = JOB_RULED(round->in->record, entry->job, priority);
     plan->blocked += n;
     if (priority < plan->blockedPriority) {
         plan->blockedPriority = priority;
@@ -320,6 +332,9 @@
     int64_t most = round->in->most - plan->n, n = 0;
     if (most <= 0)
         return 0;
+    most = turns_room(round, entry, most);
+    if (!most)
+        return 1;
     /* where it cannot fit, one row is enough to know that it is blocked */
     int full = entry->service < 0 || plan_surely_full(round, entry);
     if (!plan_gather(round, entry, full ? 1 : most))
@@ -342,6 +357,7 @@
         }
         round->mindHeld = 1;
     }
+    turns_took(round, entry, n);
     if (n < round->nRows && n < most)
         note_blocked(plan, entry, waiting - round->nBusy - n);
     return 1;
--- a/src/dispatch/plan_round.h
+++ b/src/dispatch/plan_round.h
@@ -46,6 +46,8 @@
     int32_t *queueService;       /* by queue: its service, -1: no seats */
     int32_t *lifeSeat;           /* by life: its seat, -1: none */
     int64_t *rows;               /* of the entry gathered last: WAITING rows not busy */
+    int64_t *outletRuns;         /* by outlet: tasks placed, or promised a place */
+    Pvoid_t notBegun, notOver;   /* Judy1 of outlet and queue: an earlier job there has not begun; is not over */
     int64_t nServices, nEntries, nRows, nBusy;
     int64_t mindHeld;            /* the entry at hand must leave held room alone */
     int64_t onlyRoom;            /* the judged step was denied seats for want of room alone */
@@ -64,6 +66,18 @@
     return &entry->job->spec.steps[entry->step];
 }
 
+/* rules/turns.c; all but the first and last two of jobs that are an outlet's */
+void turns_begin(struct plan_round *round);
+/* Each live job once, in order of acceptance; due: its first time has come. */
+int turns_may_begin(struct plan_round *round, const struct job *job, int due);
+/* Is it within the hours, or begun? nextDueMs: not after the next opening. */
+int turns_open(const struct plan_round *round, const struct job *job, int64_t time, int64_t *nextDueMs);
+int64_t turns_since_ms(const struct plan_round *round, const struct job *job, int64_t sinceMs);
+/* How many tasks of it, most at the most, its outlet may have placed now; 0: none, or not the whole gang. */
+int64_t turns_room(const struct plan_round *round, const struct plan_entry *entry, int64_t most);
+void turns_took(struct plan_round *round, const struct plan_entry *entry, int64_t n);
+void turns_free(struct plan_round *round);
+
 /* plan_seat.c */
 /* Fills cost and used of all seats for the step. */
 void plan_judge(struct plan_round *round, const struct plan_entry *entry);
--- a/src/dispatch/plan_victims.c
+++ b/src/dispatch/plan_victims.c
@@ -101,8 +101,8 @@
                 continue;
             }
             c.loss = loss_of(round, c.step, row);
-            if (record->queues[job->queue].config.priority > stops->leastUrgent)
-                stops->leastUrgent = record->queues[job->queue].config.priority;
+            if (JOB_RULED(record, job, priority) > stops->leastUrgent)
+                stops->leastUrgent = JOB_RULED(record, job, priority);
             c.gang = c.step->gang ? no - index : -1;
             if (stops->n == stops->cap) {
                 stops->cap = stops->cap * 2 + 64;
@@ -129,7 +129,7 @@
 static int may_stop(const struct stops *stops, const struct candidate *c, int64_t priority, int gangs)
 {
     return !c->chosen && (gangs || c->gang < 0) &&
-           stops->round->in->record->queues[c->job->queue].config.priority > priority;
+           JOB_RULED(stops->round->in->record, c->job, priority) > priority;
 }
 
 /* Chooses (sign 1) a row, with its whole gang, or gives it back (-1). The rows it makes. */
@@ -152,7 +152,7 @@
 static int64_t clear_seat(struct stops *stops, int64_t seat, const struct plan_entry *entry, int gangs, int keep)
 {
     const struct step_spec *step = entry_step(entry);
-    int64_t priority = stops->round->in->record->queues[entry->job->queue].config.priority;
+    int64_t priority = JOB_RULED(stops->round->in->record, entry->job, priority);
     int64_t want = plan_seat_holds(stops->round, seat, step, 0) + 1, loss = 0, n = 0, nTaken = 0, enough = 0;
     struct candidate *taken[64];
     for (int64_t i = stops->round->seats[seat].mark; i >= 0 && i < stops->n && !enough; i++) {
@@ -255,10 +255,12 @@
         const struct plan_entry *entry = &round.entries[i];
         const struct step_spec *step = entry_step(entry);
         if (entry->service < 0 || entry->lateness == HOPELESS ||
-            input->record->queues[entry->job->queue].config.priority >= stops.leastUrgent)
+            JOB_RULED(input->record, entry->job, priority) >= stops.leastUrgent)
             continue;
-        if (!plan_gather(&round, entry, most))
+        int64_t room = turns_room(&round, entry, most);
+        if (!room || !plan_gather(&round, entry, room))
             continue;
+        round.nRows = round.nRows > room && !step->gang ? room : round.nRows;
         plan_judge(&round, entry);
         if (step->gang || plan_holds(&round, step, NULL, 0) < round.nRows)
             tried++;
--- a/src/dispatch/record.c
+++ b/src/dispatch/record.c
@@ -10,7 +10,7 @@
     INT(record_op, kind), INT(record_op, atMs), SUB(record_op, config, configShape), INT(record_op, base),
     SUB(record_op, spec, jobAskedShape), STR(record_op, queue), INT(record_op, job), STR(record_op, life),
     INT(record_op, agent), LIST(record_op, runs, nRuns, runRefShape), LIST(record_op, ended, nEnded, runEndedShape),
-    INTS(record_op, jobs, nJobs)};
+    INTS(record_op, jobs, nJobs), PTR(record_op, rules, rulesChangeShape)};
 SHAPE(recordOpShape, record_op, opFields);
 
 static const struct field batchFields[] = {LIST(record_batch, ops, n, recordOpShape)};
@@ -63,8 +63,10 @@
 uint64_t job_hash(const struct job_spec *spec, const char *queue)
 {
     struct bytes packed = {0};
-    shape_pack(&jobAskedShape, spec, &packed);
+    shape_pack(&jobUnownedShape, spec, &packed);
     uint64_t hash = hash_mix(hash_of(packed.at, packed.len), hash_text(queue));
+    if (spec->outlet)
+        hash = hash_mix(hash, hash_text(spec->outlet));
     bytes_free(&packed);
     return hash;
 }
@@ -99,9 +101,20 @@
     shape_free(&jobAskedShape, &job->spec);
 }
 
+void job_drop(struct job *job)
+{
+    job_close(job);
+    free(job->rules);
+    free(job);
+}
+
 /* --- the record --------------------------------------------------------- */
 
-void record_start(struct record *record) { *record = (struct record){0}; }
+void record_start(struct record *record)
+{
+    *record = (struct record){0};
+    rules_start(&record->rules);
+}
 
 void record_clear(struct record *record)
 {
@@ -110,8 +123,7 @@
     PPvoid_t at;
     JLF(at, record->jobs, id);
     while (at) {
-        job_close(*at);
-        free(*at);
+        job_drop(*at);
         JLN(at, record->jobs, id);
     }
     JLFA(freed, record->jobs);
@@ -124,7 +136,8 @@
         free(record->lives[i].name);
     free(record->lives);
     JSLFA(freed, record->lifeNumbers);
-    *record = (struct record){.changed = record->changed, .arg = record->arg};
+    rules_end(&record->rules);
+    *record = (struct record){.changed = record->changed, .arg = record->arg, .rules = record->rules};
 }
 
 void record_end(struct record *record)
@@ -210,8 +223,7 @@
     (void)rc;
     record->nJobs--;
     record_tell(record, job, -1);
-    job_close(job);
-    free(job);
+    job_drop(job);
 }
 
 int record_apply_batch(struct record *record, const struct bytes *packed)
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -8,8 +8,9 @@
 #include "controller/dialect.h"
 #include "dispatch/job.h"
 #include "dispatch/messages.h"
+#include "rules/rules.h"
 
-enum record_op_kind { OP_CONFIG = 1, OP_JOB, OP_CANCEL, OP_PLACE, OP_END, OP_FORGET };
+enum record_op_kind { OP_CONFIG = 1, OP_JOB, OP_CANCEL, OP_PLACE, OP_END, OP_FORGET, OP_RULES };
 
 /* One op; which fields count is told by kind.
  * OP_PLACE: runs begin on life (of agent), all of them; OP_END: ended;
@@ -29,6 +30,7 @@
     int64_t nEnded;
     int64_t *jobs;
     int64_t nJobs;
+    struct rules_change *rules;  /* OP_RULES */
 };
 struct record_batch {
     struct record_op *ops;
@@ -65,6 +67,7 @@
     struct job *next, *prev;     /* live jobs, in order of acceptance */
     int64_t index;               /* number in order of acceptance */
     uint64_t specHash;           /* of spec and the queue's name */
+    struct job_rules *rules;     /* as they were when it was accepted, to its end; NULL: it is no outlet's */
 };
 
 /* A life on which something was placed. Invariant: placed counts PLACED rows on it;
@@ -93,6 +96,7 @@
     int64_t nJobs, nLive, nextIndex;
     struct life *lives;
     int64_t nLives;
+    struct rules rules;
     Pvoid_t lifeNumbers;         /* JudySL: name -> index into lives, and 1 */
     void (*changed)(void *arg, struct job *job, int64_t no);
     void *arg;
@@ -113,6 +117,10 @@
 int64_t record_queue(const struct record *record, const char *name);   /* -1: never known */
 /* Done, failed or cancelled; rows may still be there, see struct job. */
 int job_over(const struct job *job);
+/* priority, attemptsMax, stretchPct or targetMs: as its outlet's rules say, else its queue. */
+#define JOB_RULED(record, job, rule) \
+    ((job)->rules && (job)->rules->values.rule != RULE_UNSET ? (job)->rules->values.rule \
+                                                             : (record)->queues[(job)->queue].config.rule)
 /* Which step and time and index a row is. Job is live, here and below. */
 void job_place(const struct job *job, int64_t no, int64_t *time, int64_t *step, int64_t *index);
 /* All steps that this step of this time waits for are done. */
--- a/src/dispatch/record_digest.c
+++ b/src/dispatch/record_digest.c
@@ -21,6 +21,7 @@
     int64_t nQueues;
     struct life_form *lives;
     int64_t nLives, nextIndex, nJobs, nLive;
+    struct rules *rules;         /* NULL: none were ever set */
 };
 /* A row that is not as it was at the start; sinceMs counts from when the job was accepted. */
 struct row_form {
@@ -35,6 +36,7 @@
     int64_t nRows;
     int64_t *counted;
     int64_t nCounted;
+    struct job_rules *rules;     /* of all jobs that are an outlet's */
 };
 
 static const struct field queueFields[] = {SUB(queue_form, config, queueConfigShape), BOOL(queue_form, removed)};
@@ -46,7 +48,7 @@
 static const struct field headFields[] = {
     SUB(head_form, config, configShape), LIST(head_form, queues, nQueues, queueFormShape),
     LIST(head_form, lives, nLives, lifeFormShape), INT(head_form, nextIndex), INT(head_form, nJobs),
-    INT(head_form, nLive)};
+    INT(head_form, nLive), PTR(head_form, rules, rulesShape)};
 static SHAPE(headFormShape, head_form, headFields);
 
 static const struct field rowFields[] = {
@@ -58,7 +60,7 @@
     INT(job_form, id), INT(job_form, queue), INT(job_form, state), INT(job_form, tasks), INT(job_form, times),
     INT(job_form, nDone), INT(job_form, acceptedMs), INT(job_form, endedMs), INT(job_form, index),
     INT(job_form, hash), PTR(job_form, spec, jobAskedShape), LIST(job_form, rows, nRows, rowFormShape),
-    INTS(job_form, counted, nCounted)};
+    INTS(job_form, counted, nCounted), PTR(job_form, rules, jobRulesShape)};
 static SHAPE(jobFormShape, job_form, jobFields);
 
 /* --- packing ------------------------------------------------------------ */
@@ -82,7 +84,8 @@
 {
     struct job_form form = {.id = job->spec.id, .queue = job->queue, .state = job->state, .tasks = job->tasks,
                             .times = job->times, .nDone = job->nDone, .acceptedMs = job->acceptedMs,
-                            .endedMs = job->endedMs, .index = job->index, .hash = (int64_t)job->specHash};
+                            .endedMs = job->endedMs, .index = job->index, .hash = (int64_t)job->specHash,
+                            .rules = job->rules};
     int64_t n = 0;
     if (job->rows) {
         form.spec = (struct job_spec *)&job->spec;
@@ -107,6 +110,8 @@
 {
     struct head_form head = {.config = record->config, .nQueues = record->nQueues, .nLives = record->nLives,
                              .nextIndex = record->nextIndex, .nJobs = record->nJobs, .nLive = record->nLive};
+    if (record->rules.head.version || record->rules.nOutlets)
+        head.rules = (struct rules *)&record->rules;
     head.queues = must_alloc(sizeof *head.queues * (size_t)head.nQueues);
     for (int64_t i = 0; i < head.nQueues; i++)
         head.queues[i] = (struct queue_form){.config = record->queues[i].config,
@@ -191,20 +196,22 @@
     int rc = take(from, at, &jobFormShape, &form);
     if (rc)
         return rc;
-    if (form.queue < 0 || form.queue >= record->nQueues || record_job(record, form.id)) {
+    if (form.queue < 0 || form.queue >= record->nQueues || record_job(record, form.id) ||
+        (form.rules && (form.rules->outlet < 0 || form.rules->outlet >= record->rules.nOutlets))) {
         shape_free(&jobFormShape, &form);
         return P_BAD_FRAME;
     }
     struct job *job = must_alloc(sizeof *job);
     *job = (struct job){.spec = {.id = form.id}, .queue = form.queue, .state = form.state, .tasks = form.tasks,
                         .times = form.times, .nDone = form.nDone, .acceptedMs = form.acceptedMs,
-                        .endedMs = form.endedMs, .index = form.index, .specHash = (uint64_t)form.hash};
+                        .endedMs = form.endedMs, .index = form.index, .specHash = (uint64_t)form.hash,
+                        .rules = form.rules};
+    form.rules = NULL;
     if (live)
         rc = take_live(record, job, &form);
     shape_free(&jobFormShape, &form);
     if (rc) {
-        job_close(job);
-        free(job);
+        job_drop(job);
         return rc;
     }
     record_add(record, job);
@@ -223,7 +230,7 @@
     for (int64_t i = 0; i < head->nLives; i++)
         if (!head->lives[i].name)
             return 0;
-    return 1;
+    return !head->rules || rules_good(head->rules);
 }
 
 int record_restore(struct record *record, const struct bytes *from)
@@ -241,6 +248,10 @@
     record->config = head.config;
     head.config = (struct config){0};
     record->nextIndex = head.nextIndex;
+    if (head.rules) {
+        record->rules = *head.rules;
+        *head.rules = (struct rules){0};
+    }
     for (int64_t i = 0; i < head.nQueues; i++) {
         struct queue *queue = list_more(record->queues, record->nQueues);
         *queue = (struct queue){.config = head.queues[i].config, .removed = head.queues[i].removed};
--- a/src/dispatch/record_inside.h
+++ b/src/dispatch/record_inside.h
@@ -12,6 +12,7 @@
 void job_open(struct job *job);
 /* Frees rows and what spec owns. */
 void job_close(struct job *job);
+void job_drop(struct job *job);                                /* the whole of it */
 void record_add(struct record *record, struct job *job);       /* by its id */
 void record_link(struct record *record, struct job *job);      /* as the newest live one */
 void record_unlink(struct record *record, struct job *job);
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -50,6 +50,26 @@
     return same;
 }
 
+/* The rules of its outlet, if it is one's. */
+static int stamp(const struct record *record, const struct record_op *op, struct job_rules **rules)
+{
+    const struct job_spec *spec = &op->spec;
+    if (!record->rules.nOutlets && !spec->outlet)
+        return P_OK;
+    int64_t outlet = spec->outlet ? rules_outlet(&record->rules, spec->outlet)
+                                  : rules_outlet_of_queue(&record->rules, op->queue);
+    if (outlet < 0)
+        return spec->outlet ? P_NO_SUCH : P_OK;
+    *rules = rules_stamp(&record->rules, outlet);
+    for (int64_t s = 0; s < spec->nSteps; s++)
+        if (spec->steps[s].gang && (*rules)->values.runningMost > 0 &&
+            spec->steps[s].taskCount > (*rules)->values.runningMost) {
+            free(*rules);
+            return P_NEVER_FITS;
+        }
+    return P_OK;
+}
+
 static int apply_job(struct record *record, const struct record_op *op)
 {
     int rc = job_spec_check(&op->spec, NULL);
@@ -62,7 +82,12 @@
         return job->queue == queue && same_spec(job, op, hash) ? P_OK : P_KEY_TAKEN;
     if (queue < 0 || record->queues[queue].removed)
         return P_NO_SUCH;
+    struct job_rules *rules = NULL;
+    rc = stamp(record, op, &rules);
+    if (rc)
+        return rc;
     job = must_alloc(sizeof *job);
+    job->rules = rules;
     shape_copy(&jobAskedShape, &job->spec, &op->spec);
     job->queue = queue;
     job->state = JOB_PENDING;
@@ -289,7 +314,7 @@
 static void end_undone(struct record *record, const struct spot *spot, const struct run_ended *end, int64_t atMs)
 {
     struct job *job = spot->job;
-    int64_t max = record->queues[job->queue].config.attemptsMax;
+    int64_t max = JOB_RULED(record, job, attemptsMax);
     int gang = spot->step->gang != 0;
     int failed = end->how == END_FAILED && !spot->step->lasting &&
                  !(gang && job->counted[spot->group] == end->attempt);
@@ -356,6 +381,8 @@
         return apply_end(record, op);
     case OP_FORGET:
         return apply_forget(record, op);
+    case OP_RULES:
+        return op->rules ? rules_apply(&record->rules, op->rules) : P_BAD_FIELD;
     default:
         return P_BAD_FIELD;
     }
--- a/tests/platform/door_test.cc
+++ b/tests/platform/door_test.cc
@@ -251,6 +251,19 @@
     EXPECT_EQ(Read(beat_request(with(body, "1750.5", "-3"))).ask.beat.state.departureMs, 1);
     EXPECT_EQ(Read(beat_request(with(body, "\"departureMs\":1750.5,", ""))).ask.beat.state.departureMs, 0);
     EXPECT_EQ(Read(beat_request(with(body, "draining", "available"))).ask.beat.state.draining, 0);
+    EXPECT_EQ(beat.account.clockMs, 99);
+    EXPECT_EQ(beat.account.nActive + beat.account.nEnded, 0);
+    Read full(beat_request(with(body, "\"clockMs\":99", R"("clockMs":482113,)"
+        R"("active":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41]],)"
+        R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]])")));
+    const executor_answer &account = full.ask.beat.account;
+    EXPECT_EQ(account.clockMs, 482113);
+    ASSERT_EQ(account.nActive, 1);
+    EXPECT_EQ(account.active[0].task, task_of(0, 1, 17));
+    EXPECT_EQ(account.active[0].percent, 41);
+    ASSERT_EQ(account.nEnded, 1);
+    EXPECT_EQ(account.ended[0].seq, 58);
+    EXPECT_EQ(account.ended[0].how, END_DONE);
     Read left({ENTRY_OPERATORS, "DELETE", "/sagehitch/executors/i-19ab", "", {}});
     EXPECT_EQ(left.ask.beat.kind, BEAT_LEFT);
     EXPECT_STREQ(left.ask.beat.state.life, "i-19ab");
--- /dev/null
+++ b/tests/platform/rules_door_test.cc
@@ -0,0 +1,127 @@
+// The operators' paths for rules: what is read, what is refused, what is answered.
+#include "platform_test.h"
+
+extern "C" {
+#include "rules/rules_view.h"
+}
+
+namespace {
+
+Request put(const std::string &path, const std::string &body, const std::string &base = "6")
+{
+    return {ENTRY_OPERATORS, "PUT", path, body, {{"If-Match", base}}};
+}
+Request get(const std::string &path) { return {ENTRY_OPERATORS, "GET", path, "", {}}; }
+
+void refused(const Request &request, int problem, const std::string &path)
+{
+    Read read(request);
+    EXPECT_EQ(read.problem, problem) << request.body;
+    EXPECT_EQ(read.flaw.path, path) << request.body;
+    EXPECT_TRUE(read.empty());
+}
+
+// Takes a request that changes or reads rules straight to a record.
+struct Desk {
+    struct record r = {};
+    Desk() { record_start(&r); }
+    ~Desk() { record_end(&r); }
+    int change(const Request &request)
+    {
+        Read read(request);
+        EXPECT_EQ(read.problem, 0) << read.flaw.path << " " << read.flaw.expected;
+        EXPECT_EQ(read.ask.kind, ASK_RULES_PUT);
+        return read.problem ? read.problem : rules_apply(&r.rules, read.ask.rules);
+    }
+    std::string shown(const std::string &path, int want = 200)
+    {
+        Read read(get(path));
+        door_answer answer = {};
+        answer.kind = read.ask.kind;
+        rules_answer(&r, &read.ask, &answer);
+        int status = 0;
+        char *body = nullptr;
+        platformDoor.write(&answer, &status, &body);
+        std::string text = body;
+        free(body);
+        bytes_free(&answer.raw);
+        EXPECT_EQ(status, want);
+        return text;
+    }
+};
+
+}  // namespace
+
+TEST(RulesDoor, HeadOfficeAndOutlets)
+{
+    Desk desk;
+    EXPECT_EQ(desk.shown("/rules"), R"({"version":0,"rules":{},"outlets":[]})");
+    ASSERT_EQ(desk.change(put("/rules", R"({"version":7,"rules":{"priority":{"value":3,"least":1,"most":5},)"
+                                        R"("attemptsMax":{"value":2},"targetMs":{"value":9,"adjust":"free"}}})", "0")),
+              0);
+    ASSERT_EQ(desk.change(put("/rules/outlets/north-1", R"({"version":1,"rules":{"priority":5},"queues":["till"]})",
+                              "\"0\"")), 0);
+    EXPECT_EQ(desk.shown("/rules"),
+              R"({"version":7,"rules":{"priority":{"value":3,"adjust":"within","least":1,"most":5},)"
+              R"("attemptsMax":{"value":2,"adjust":"fixed"},"targetMs":{"value":9,"adjust":"free"}},)"
+              R"("outlets":["north-1"]})");
+    ASSERT_EQ(desk.change(put("/rules", R"({"version":8,"rules":{"priority":{"value":3,"most":4,"least":3}}})", "7")),
+              0);
+    EXPECT_EQ(desk.shown("/rules/outlets/north-1"),
+              R"({"outlet":"north-1","version":1,"ofHeadOffice":8,"queues":["till"],"rules":{"priority":)"
+              R"({"inForce":4,"headOffice":3,"own":5,"clamped":true,"adjust":"within","least":3,"most":4}}})");
+    EXPECT_EQ(desk.shown("/rules/outlets/south", 404), R"({"problem":"no_such"})");
+    EXPECT_EQ(desk.shown("/rules/jobs/00000000000000ff", 410), R"({"problem":"gone"})");
+}
+
+TEST(RulesDoor, Refusals)
+{
+    refused(put("/rules", "[]"), P_BAD_JSON, "");
+    refused(put("/rules", "{"), P_BAD_JSON, "");
+    refused(put("/rules", R"({"version":7,"rules":{}})", "x"), P_BAD_FIELD, "If-Match");
+    refused({ENTRY_OPERATORS, "PUT", "/rules", R"({"version":7,"rules":{}})", {}}, P_BAD_FIELD, "If-Match");
+    refused(put("/rules", R"({"version":7})"), P_BAD_FIELD, "rules");
+    refused(put("/rules", R"({"rules":{}})"), P_BAD_FIELD, "version");
+    refused(put("/rules", R"({"version":7,"rules":{},"more":1})"), P_BAD_FIELD, "more");
+    refused(put("/rules", R"({"version":7,"rules":{},"queues":[]})"), P_BAD_FIELD, "queues");
+    refused(put("/rules", R"({"version":7,"rules":{"colour":{"value":1}}})"), P_BAD_FIELD, "rules.colour");
+    refused(put("/rules", R"({"version":7,"rules":{"priority":3}})"), P_BAD_FIELD, "rules.priority.value");
+    refused(put("/rules", R"({"version":7,"rules":{"priority":{"value":"3"}}})"), P_BAD_FIELD, "rules.priority.value");
+    refused(put("/rules", R"({"version":7,"rules":{"priority":{"value":3,"least":4,"most":5}}})"), P_BAD_FIELD,
+            "rules.priority.least");
+    refused(put("/rules", R"({"version":7,"rules":{"priority":{"value":3,"adjust":"some"}}})"), P_BAD_FIELD,
+            "rules.priority.adjust");
+    refused(put("/rules", R"({"version":7,"rules":{"priority":{"value":3,"adjust":"fixed","most":9}}})"), P_BAD_FIELD,
+            "rules.priority.adjust");
+    refused(put("/rules/outlets/a", R"({"version":7,"rules":{"priority":-1}})"), P_BAD_FIELD, "rules.priority");
+    refused(put("/rules/outlets/a", R"({"version":7,"rules":{"priority":2000}})"), P_BAD_FIELD, "rules.priority");
+    refused(put("/rules/outlets/a", R"({"version":7,"rules":{},"queues":[1]})"), P_BAD_FIELD, "queues");
+    refused(put("/rules/outlets/a/b", R"({"version":7,"rules":{}})"), P_NO_SUCH, "path");
+    refused(get("/rules/outlets/"), P_NO_SUCH, "path");
+    refused(get("/rules/other"), P_NO_SUCH, "path");
+    refused(get("/rules/jobs/12"), P_GONE, "path");
+    refused(put("/rules/jobs/00000000000000ff", "{}"), P_BAD_METHOD, "method");
+    refused({ENTRY_OPERATORS, "DELETE", "/rules", "", {}}, P_BAD_METHOD, "method");
+    refused(get("/rulesets"), P_NO_SUCH, "path");
+}
+
+TEST(RulesDoor, OnlyOperatorsHaveIt)
+{
+    Read callers({ENTRY_CALLERS, "GET", "/rules", "", {{"Host", "a"}}});
+    EXPECT_NE(callers.ask.kind, ASK_RULES_GET);
+}
+
+TEST(RulesDoor, Problems)
+{
+    const std::pair<int, int> all[] = {{P_STALE, 412}, {P_BOUND, 422}, {P_KEY_TAKEN, 409}, {P_GAVE_UP, 504},
+                                       {P_GATE, 503}, {P_NO_SUCH, 404}};
+    for (auto [problem, want] : all) {
+        door_answer answer = {};
+        answer.kind = ASK_RULES_PUT, answer.problem = problem;
+        int status = 0;
+        char *body = nullptr;
+        platformDoor.write(&answer, &status, &body);
+        EXPECT_EQ(status, want);
+        free(body);
+    }
+}
--- /dev/null
+++ b/tests/sim/season_office.h
@@ -0,0 +1,262 @@
+// The people of a season: head office that changes its mind, outlets that adjust, callers, and
+// the troubles of a site.
+#ifndef SAGEHITCH_TESTS_SEASON_OFFICE_H
+#define SAGEHITCH_TESTS_SEASON_OFFICE_H
+#include <gtest/gtest.h>
+
+#include <jansson.h>
+
+#include "season.h"
+#include "tests/unit/record_build.h"
+
+namespace season {
+
+const int64_t OUTLETS = 40, QUEUES = 3, CLAIMED = 10, DAYS = 3, OPENS = 8 * 60;
+
+inline std::string outlet_name(int64_t no) { return "outlet-" + std::to_string(no); }
+
+inline Values json_values(const json_t *from, const char *field)
+{
+    Values to;
+    const char *key;
+    json_t *value;
+    json_object_foreach((json_t *)from, key, value) {
+        const json_t *number = field ? json_object_get(value, field) : value;
+        if (json_is_integer(number))
+            to[key] = json_integer_value(number);
+    }
+    return to;
+}
+
+struct Office : Season {
+    struct Side {
+        int64_t version = 0;
+        bool busy = false;
+        Values own;
+    };
+    Side head;
+    std::vector<Side> outlets = std::vector<Side>(OUTLETS);
+    std::map<std::string, std::tuple<int64_t, int64_t, int64_t>> rules;
+    int64_t nJobs = 0, nTaken = 0, nStale = 0, nBound = 0, nChanges = 0, nClamped = 0, nLed = 0;
+
+    explicit Office(unsigned seed) : Season(seed) { configure(); }
+
+    void configure()
+    {
+        std::vector<record_build::Queue> queues;
+        for (int64_t q = 0; q < QUEUES; q++)
+            queues.push_back({"q" + std::to_string(q), 4});
+        for (int64_t q = 0; q < CLAIMED; q++)
+            queues.push_back({"till-" + std::to_string(q), 4});
+        door_ask &a = ask(ASK_CONFIG_PUT, [](const door_answer &answer) { EXPECT_EQ(answer.problem, 0); });
+        a.config = record_build::config_of(1, queues, "config");
+        for (int i = 0; i < 10; i++)
+            tick();
+    }
+    rules_change *change_of(door_ask &a)
+    {
+        a.rules = (rules_change *)must_alloc(sizeof *a.rules);
+        shape_defaults(&rulesChangeShape, a.rules);
+        return a.rules;
+    }
+    static void put(rule_values &to, const std::string &name, int64_t value)
+    {
+        const field *f = shape_field(&ruleValuesShape, name.c_str());
+        *rule_at(&to, (int)(f - ruleValuesShape.fields)) = value;
+    }
+    // value, and how far outlets may go
+    void rule(const std::string &name, int64_t min, int64_t max)
+    {
+        int64_t least = min + below(max - min + 1), most = least + below(max - least + 1);
+        int64_t value = least + below(most - least + 1);
+        if (!below(4))
+            least = most = value;
+        rules[name] = {value, least, most};
+    }
+    void head_office()
+    {
+        if (head.busy)
+            return;
+        rules.clear();
+        rule("inTurn", TURN_BEGUN, TURN_OVER);
+        if (below(5))
+            rule("runningMost", 2, 6);
+        if (below(5))
+            rule("attemptsMax", 2, 5);
+        if (below(3))
+            rule("priority", 0, 9);
+        if (below(2))
+            rule("targetMs", 1000, 60000);
+        if (below(2)) {
+            rule("opensAtMin", OPENS - 3, OPENS + 1);
+            rule("closesAtMin", OPENS + 3, OPENS + 5);
+        }
+        bool rogue = !below(5);                          // built on a version that is no longer the newest
+        int64_t base = rogue ? head.version + 7 : head.version, to = base + 1 + below(3);
+        door_ask &a = ask(ASK_RULES_PUT, [this, rogue, to](const door_answer &answer) {
+            head.busy = false;
+            EXPECT_EQ(answer.problem, rogue ? P_STALE : P_OK);
+            nStale += rogue;
+            if (rogue)
+                return;
+            head.version = to, nChanges++;
+            note(TAKEN).ofHead = to;
+        });
+        rules_change *c = change_of(a);
+        head.busy = true;
+        c->base = base, c->head.version = to;
+        for (auto &[name, r] : rules) {
+            put(c->head.value, name, std::get<0>(r));
+            put(c->head.least, name, std::get<1>(r));
+            put(c->head.most, name, std::get<2>(r));
+        }
+    }
+    void adjust(int64_t no)
+    {
+        static const std::vector<std::tuple<const char *, int64_t, int64_t>> all = {
+            {"runningMost", 2, 6}, {"attemptsMax", 2, 5}, {"priority", 0, 9}, {"inTurn", 1, 2},
+            {"targetMs", 1000, 60000}};
+        Side &side = outlets[(size_t)no];
+        if (side.busy)
+            return;
+        Values own = side.own;
+        if (side.version && below(6)) {
+            auto &[name, min, max] = all[(size_t)below((int64_t)all.size())];
+            own[name] = min + below(max - min + 1);
+        }
+        int64_t to = side.version + 1 + below(2);
+        door_ask &a = ask(ASK_RULES_PUT, [this, no, to, own](const door_answer &answer) {
+            Side &mine = outlets[(size_t)no];
+            mine.busy = false;
+            EXPECT_TRUE(!answer.problem || answer.problem == P_BOUND) << answer.problem;
+            nBound += answer.problem == P_BOUND;
+            if (answer.problem)
+                return;
+            mine.version = to, mine.own = own, nChanges++;
+            Event &event = note(TAKEN);
+            event.outlet = outlet_name(no), event.ofHead = to, event.values = own;
+        });
+        rules_change *c = change_of(a);
+        side.busy = true;
+        c->outlet = must_dup(outlet_name(no).c_str());
+        c->base = side.version, c->to.version = to;
+        for (auto &[name, v] : own)
+            put(c->to.own, name, v);
+        if (no < CLAIMED)
+            record_build::more_of(c->to.queues, c->to.nQueues) = must_dup(("till-" + std::to_string(no)).c_str());
+    }
+    void job(int64_t no)
+    {
+        if (!outlets[(size_t)no].version)
+            return;
+        bool claimed = no < CLAIMED && below(2);
+        std::string queue = claimed ? "till-" + std::to_string(no) : "q" + std::to_string(below(QUEUES));
+        record_build::Spec spec = {{{1 + below(3), {}}}, 0};
+        if (!below(3))
+            spec.steps.push_back({1, {0}});
+        int64_t id = ++nJobs;
+        Event &event = note(SENT);
+        event.job = id, event.ofHead = head.version, event.ofOutlet = outlets[(size_t)no].version;
+        door_ask &a = ask(ASK_JOB, [this, id](const door_answer &answer) {
+            EXPECT_EQ(answer.problem, 0);
+            nTaken++;
+            show(id);
+        });
+        a.host = must_dup("host.example"), a.path = must_dup(("/" + queue + "/" + std::to_string(id)).c_str());
+        a.spec = record_build::spec_of(id, spec);
+        for (int64_t s = 0; s < a.spec.nSteps; s++)
+            a.spec.steps[s].cpuMilli = 500 + below(3) * 500, a.spec.steps[s].estimateMs = 800;
+        if (!claimed)
+            a.spec.outlet = must_dup(outlet_name(no).c_str());
+    }
+    // What a job ran under, as the door tells; now and at a later day.
+    void show(int64_t id)
+    {
+        door_ask &a = ask(ASK_RULES_JOB, [this, id](const door_answer &answer) {
+            if (answer.problem)
+                return;                                  // forgotten since
+            json_t *json = json_loadb((const char *)answer.raw.at, (size_t)answer.raw.len, 0, nullptr);
+            Event &event = note(JOB_SHOWN);
+            event.job = id, event.outlet = json_string_value(json_object_get(json, "outlet"));
+            event.ofHead = json_integer_value(json_object_get(json, "ofHeadOffice"));
+            event.ofOutlet = json_integer_value(json_object_get(json, "ofOutlet"));
+            event.values = json_values(json_object_get(json, "rules"), nullptr);
+            json_decref(json);
+        });
+        a.job = id;
+    }
+    void show_outlet(int64_t no)
+    {
+        if (outlets[(size_t)no].busy || !outlets[(size_t)no].version)
+            return;
+        outlets[(size_t)no].busy = true;
+        door_ask &a = ask(ASK_RULES_GET, [this, no](const door_answer &answer) {
+            outlets[(size_t)no].busy = false;
+            ASSERT_EQ(answer.problem, 0);
+            json_t *json = json_loadb((const char *)answer.raw.at, (size_t)answer.raw.len, 0, nullptr);
+            Event &event = note(OUTLET_SHOWN);
+            event.outlet = outlet_name(no);
+            event.values = json_values(json_object_get(json, "rules"), "own");
+            nClamped += strstr((const char *)answer.raw.at, "\"clamped\":true") != nullptr;
+            json_decref(json);
+        });
+        change_of(a)->outlet = must_dup(outlet_name(no).c_str());
+    }
+    void trouble()
+    {
+        if (!below(400)) {
+            lead((size_t)below(3));
+            nLed++;
+        }
+        if (!below(300))
+            restart((size_t)below(3));
+        if (!below(200))
+            go_down(standins[(size_t)below((int64_t)standins.size())]);
+        if (!below(100))
+            catch_up(nodes[(size_t)below(3)].get());
+    }
+    // Seven minutes of each day; the other hours are passed over while nothing runs.
+    void day(int64_t no, bool busy)
+    {
+        nowMs = std::max(nowMs, no * 86400000 + (OPENS - 2) * 60000);
+        int64_t tillMs = no * 86400000 + (OPENS + 5) * 60000;
+        while (nowMs < tillMs) {
+            if (busy && !below(100))
+                head_office();
+            if (!below(12))
+                adjust(below(OUTLETS));
+            if (!below(30))
+                show_outlet(below(OUTLETS));
+            if (busy && !below(10) && nJobs)
+                show(1 + below(nJobs));
+            if (busy && !below(5))
+                job(below(OUTLETS));
+            trouble();
+            tick();
+        }
+        for (int i = 0; i < 4000 && !idle(); i++)
+            tick();
+        EXPECT_TRUE(idle());
+    }
+    void season()
+    {
+        for (int64_t no = 0; no < DAYS; no++)
+            day(no, true);
+        for (int64_t no = DAYS; no < DAYS + 4 && leader->r.nLive; no++)
+            day(no, false);
+        for (int64_t no = 0; no < OUTLETS; no++)
+            show_outlet(no);
+        for (int i = 0; i < 10; i++)
+            tick();
+    }
+};
+
+inline void expect_quiet(const Judge &judge)
+{
+    EXPECT_EQ(judge.breaches.size(), 0u);
+    for (size_t i = 0; i < judge.breaches.size() && i < 10; i++)
+        ADD_FAILURE() << judge.breaches[i];
+}
+
+}  // namespace season
+#endif
--- /dev/null
+++ b/tests/unit/rules_test.cc
@@ -0,0 +1,293 @@
+// Rules of head office and outlets in the record: the table, how far outlets may go, versions,
+// changes sent again, and what a job is stamped with.
+#include <gtest/gtest.h>
+
+#include "record_build.h"
+
+using namespace record_build;
+
+namespace {
+
+// What one change says of one rule: value, least, most.
+struct Says {
+    const char *name;
+    int64_t value, least, most;
+};
+
+int64_t &at(const rule_values &values, const char *name)
+{
+    const field *f = shape_field(&ruleValuesShape, name);
+    return *rule_at(&values, (int)(f - ruleValuesShape.fields));
+}
+
+struct Rules : testing::Test {
+    struct record r = {};
+
+    void SetUp() override
+    {
+        record_start(&r);
+        Batch b;
+        b.conf(1000, 0, 1, {{"a", 4}, {"b", 4}}, "one");
+        ASSERT_EQ(record_apply(&r, &b.batch.ops[0]), 0);
+    }
+    void TearDown() override { record_end(&r); }
+    template <class F> int with(F fill)
+    {
+        Batch b;
+        record_op &op = b.more(OP_RULES, 1000);
+        op.rules = (rules_change *)must_alloc(sizeof *op.rules);
+        shape_defaults(&rulesChangeShape, op.rules);
+        fill(*op.rules);
+        return record_apply(&r, &op);
+    }
+    int head(int64_t base, int64_t version, const std::vector<Says> &rules)
+    {
+        return with([&](rules_change &c) {
+            c.base = base, c.head.version = version;
+            for (const Says &s : rules) {
+                at(c.head.value, s.name) = s.value;
+                at(c.head.least, s.name) = s.least, at(c.head.most, s.name) = s.most;
+            }
+        });
+    }
+    int outlet(const std::string &name, int64_t base, int64_t version,
+               const std::vector<std::pair<const char *, int64_t>> &own, const std::vector<std::string> &queues = {})
+    {
+        return with([&](rules_change &c) {
+            c.outlet = dup(name), c.base = base, c.to.version = version;
+            for (auto &[rule, value] : own)
+                at(c.to.own, rule) = value;
+            for (const std::string &queue : queues)
+                more_of(c.to.queues, c.to.nQueues) = dup(queue);
+        });
+    }
+    int64_t in_force(const std::string &name, const char *rule)
+    {
+        rule_values now;
+        int64_t no = rules_outlet(&r.rules, name.c_str());
+        rules_effective(&r.rules, &r.rules.outlets[no], &now);
+        return at(now, rule);
+    }
+    bool clamped(const std::string &name, const char *rule)
+    {
+        const field *f = shape_field(&ruleValuesShape, rule);
+        return rule_clamped(&r.rules, &r.rules.outlets[rules_outlet(&r.rules, name.c_str())],
+                            (int)(f - ruleValuesShape.fields));
+    }
+    int add(int64_t id, const std::string &of, const std::string &queue = "a", const Spec &spec = two)
+    {
+        Batch b;
+        b.job(2000, id, spec, queue);
+        if (!of.empty())
+            b.batch.ops[0].spec.outlet = dup(of);
+        return record_apply(&r, &b.batch.ops[0]);
+    }
+    const job_rules *of_job(int64_t id) { return record_job(&r, id)->rules; }
+};
+
+TEST_F(Rules, HeadOfficeReachesEveryOutletAndKeepsItsOwn)
+{
+    ASSERT_EQ(head(0, 1, {{"priority", 5, 2, 8}, {"attemptsMax", 3, 3, 3}}), 0);
+    ASSERT_EQ(outlet("north", 0, 1, {{"priority", 7}}), 0);
+    ASSERT_EQ(outlet("south", 0, 1, {}), 0);
+    EXPECT_EQ(in_force("north", "priority"), 7);
+    EXPECT_EQ(in_force("south", "priority"), 5);
+    ASSERT_EQ(head(1, 2, {{"priority", 3, 2, 4}, {"attemptsMax", 2, 2, 2}}), 0);     // tighter
+    EXPECT_EQ(in_force("north", "priority"), 4);
+    EXPECT_TRUE(clamped("north", "priority"));
+    EXPECT_EQ(in_force("south", "priority"), 3);
+    EXPECT_EQ(in_force("north", "attemptsMax"), 2);
+    ASSERT_EQ(head(2, 3, {}), 0);                                                    // not ruled at all
+    EXPECT_EQ(in_force("north", "priority"), RULE_UNSET);
+    EXPECT_TRUE(clamped("north", "priority"));
+    ASSERT_EQ(head(3, 4, {{"priority", 3, 0, 9}}), 0);                               // looser again
+    EXPECT_EQ(in_force("north", "priority"), 7);
+    EXPECT_FALSE(clamped("north", "priority"));
+}
+
+TEST_F(Rules, AnOutletGoesOnlyAsFarAsItMay)
+{
+    ASSERT_EQ(head(0, 1, {{"priority", 5, 2, 8}, {"attemptsMax", 3, 3, 3}}), 0);
+    EXPECT_EQ(outlet("north", 0, 1, {{"priority", 9}}), P_BOUND);
+    EXPECT_EQ(outlet("north", 0, 1, {{"attemptsMax", 4}}), P_BOUND);
+    EXPECT_EQ(outlet("north", 0, 1, {{"targetMs", 4}}), P_BOUND);                    // not ruled
+    EXPECT_EQ(rules_outlet(&r.rules, "north"), -1);
+    EXPECT_EQ(outlet("north", 0, 1, {{"priority", 8}}), 0);
+    ASSERT_EQ(head(1, 2, {{"priority", 3, 2, 4}, {"runningMost", 6, 0, 100000}}), 0);
+    // what it had may be sent along; what is new must fit
+    EXPECT_EQ(outlet("north", 1, 2, {{"priority", 8}, {"runningMost", 2}}), 0);
+    EXPECT_EQ(outlet("north", 2, 3, {{"priority", 7}, {"runningMost", 2}}), P_BOUND);
+    EXPECT_EQ(in_force("north", "priority"), 4);
+    EXPECT_EQ(in_force("north", "runningMost"), 2);
+}
+
+TEST_F(Rules, VersionsAreBuiltOnEachOther)
+{
+    ASSERT_EQ(head(0, 4, {{"priority", 5, 2, 8}}), 0);
+    EXPECT_EQ(head(0, 4, {{"priority", 5, 2, 8}}), 0) << "sent again";
+    EXPECT_EQ(head(0, 4, {{"priority", 6, 2, 8}}), P_STALE) << "another under the same number";
+    EXPECT_EQ(head(0, 5, {{"priority", 6, 2, 8}}), P_STALE);
+    EXPECT_EQ(head(4, 4, {{"priority", 6, 2, 8}}), P_STALE);
+    EXPECT_EQ(head(4, 3, {{"priority", 6, 2, 8}}), P_STALE);
+    ASSERT_EQ(head(4, 5, {{"priority", 6, 2, 8}}), 0);
+    EXPECT_EQ(head(0, 4, {{"priority", 5, 2, 8}}), P_STALE) << "sent again, too late";
+    ASSERT_EQ(outlet("north", 0, 2, {{"priority", 3}}), 0);
+    EXPECT_EQ(outlet("north", 0, 2, {{"priority", 3}}), 0) << "sent again";
+    EXPECT_EQ(outlet("north", 0, 3, {{"priority", 4}}), P_STALE);
+    EXPECT_EQ(outlet("north", 2, 2, {{"priority", 4}}), P_STALE);
+    EXPECT_EQ(outlet("south", 1, 2, {{"priority", 4}}), P_STALE);
+    EXPECT_EQ(outlet("north", 2, 3, {}), 0) << "gives its own up";
+    EXPECT_EQ(in_force("north", "priority"), 6);
+}
+
+TEST_F(Rules, NonsenseIsRefused)
+{
+    EXPECT_EQ(head(0, 1, {{"priority", -3, 0, 1}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"priority", 3, 4, 5}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"priority", 3, 0, 2}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"priority", 3, 0, 2000}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"attemptsMax", 0, 0, 0}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"inTurn", 3, 3, 3}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 1, {{"opensAtMin", 1440, 1440, 1440}}), P_BAD_FIELD);
+    EXPECT_EQ(head(0, 0, {}), P_BAD_FIELD);
+    EXPECT_EQ(outlet("", 0, 1, {}), P_BAD_FIELD);
+    EXPECT_EQ(outlet("a/b", 0, 1, {}), P_BAD_FIELD);
+    EXPECT_EQ(outlet(std::string(65, 'x'), 0, 1, {}), P_BAD_FIELD);
+    EXPECT_EQ(outlet("north", 0, 1, {{"priority", 5000}}), P_BAD_FIELD);
+    EXPECT_EQ(outlet("north", 0, 1, {}, {""}), P_BAD_FIELD);
+    Batch b;
+    EXPECT_EQ(record_apply(&r, &b.more(OP_RULES, 1)), P_BAD_FIELD);
+}
+
+TEST_F(Rules, AJobKeepsTheRulesItWasAcceptedUnder)
+{
+    ASSERT_EQ(head(0, 1, {{"priority", 5, 2, 8}, {"attemptsMax", 1, 1, 1}}), 0);
+    ASSERT_EQ(outlet("north", 0, 3, {{"priority", 7}}), 0);
+    ASSERT_EQ(add(1, "north"), 0);
+    ASSERT_EQ(add(2, ""), 0);
+    EXPECT_EQ(add(3, "west"), P_NO_SUCH);
+    ASSERT_EQ(head(1, 2, {{"priority", 1, 0, 1}}), 0);
+    ASSERT_EQ(add(4, "north"), 0);
+    EXPECT_EQ(add(1, "north"), 0) << "sent again";
+    EXPECT_EQ(of_job(1)->ofHead, 1);
+    EXPECT_EQ(of_job(1)->ofOutlet, 3);
+    EXPECT_EQ(of_job(1)->values.priority, 7);
+    EXPECT_EQ(of_job(2), nullptr);
+    EXPECT_EQ(of_job(4)->ofHead, 2);
+    EXPECT_EQ(of_job(4)->values.priority, 1);
+    EXPECT_EQ(JOB_RULED(&r, record_job(&r, 1), priority), 7);
+    EXPECT_EQ(JOB_RULED(&r, record_job(&r, 1), attemptsMax), 1);
+    EXPECT_EQ(JOB_RULED(&r, record_job(&r, 2), attemptsMax), 4);
+    EXPECT_EQ(JOB_RULED(&r, record_job(&r, 4), attemptsMax), 4) << "no longer ruled: the queue's";
+    EXPECT_EQ(add(1, "south"), P_KEY_TAKEN);
+    EXPECT_EQ(add(1, ""), P_KEY_TAKEN);
+    EXPECT_EQ(add(2, "north"), P_KEY_TAKEN);
+}
+
+TEST_F(Rules, AttemptsAreThoseOfTheOutlet)
+{
+    ASSERT_EQ(head(0, 1, {{"attemptsMax", 2, 2, 2}}), 0);
+    ASSERT_EQ(outlet("north", 0, 1, {}), 0);
+    ASSERT_EQ(add(1, "north"), 0);
+    for (int64_t attempt = 1; attempt <= 2; attempt++) {
+        Batch b;
+        b.place(3000, "life", 7, {{1, task_of(0, 0, 0), attempt}});
+        b.end(3100, {{1, task_of(0, 0, 0), attempt, END_FAILED, ""}});
+        EXPECT_EQ(record_apply(&r, &b.batch.ops[0]), 0);
+        EXPECT_EQ(record_apply(&r, &b.batch.ops[1]), 0);
+        EXPECT_EQ(record_job(&r, 1)->state, attempt == 2 ? JOB_FAILED : JOB_ACTIVE);
+    }
+    EXPECT_EQ(of_job(1)->values.attemptsMax, 2) << "told also once it is over";
+}
+
+TEST_F(Rules, AQueueMayBelongToAnOutlet)
+{
+    ASSERT_EQ(head(0, 1, {{"priority", 5, 2, 8}}), 0);
+    ASSERT_EQ(outlet("north", 0, 1, {{"priority", 2}}, {"b"}), 0);
+    EXPECT_EQ(outlet("south", 0, 1, {}, {"b"}), P_KEY_TAKEN);
+    ASSERT_EQ(outlet("south", 0, 1, {}), 0);
+    ASSERT_EQ(add(1, "", "b"), 0);
+    ASSERT_EQ(add(2, "", "a"), 0);
+    ASSERT_EQ(add(3, "south", "b"), 0) << "what a job says goes first";
+    EXPECT_EQ(of_job(1)->values.priority, 2);
+    EXPECT_EQ(of_job(2), nullptr);
+    EXPECT_EQ(of_job(3)->values.priority, 5);
+    EXPECT_EQ(add(1, "", "b"), 0) << "sent again";
+}
+
+TEST_F(Rules, AGangLargerThanItsOutletMayHaveIsRefused)
+{
+    ASSERT_EQ(head(0, 1, {{"runningMost", 2, 2, 2}}), 0);
+    ASSERT_EQ(outlet("north", 0, 1, {}), 0);
+    EXPECT_EQ(add(1, "north", "a", gang), P_NEVER_FITS);
+    EXPECT_EQ(add(1, "", "a", gang), 0);
+}
+
+TEST_F(Rules, TheRecordIsWholeAfterARestore)
+{
+    ASSERT_EQ(head(0, 1, {{"priority", 5, 2, 8}, {"opensAtMin", 60, 0, 120}}), 0);
+    ASSERT_EQ(outlet("north", 0, 1, {{"priority", 7}}, {"b"}), 0);
+    ASSERT_EQ(outlet("south", 0, 1, {}), 0);
+    ASSERT_EQ(add(1, "north"), 0);
+    ASSERT_EQ(add(2, "south"), 0);
+    Batch b;
+    b.cancel(2500, 2);
+    ASSERT_EQ(record_apply(&r, &b.batch.ops[0]), 0);
+    ASSERT_EQ(head(1, 2, {{"priority", 3, 2, 4}}), 0);
+    std::string before = digest_of(&r);
+    struct bytes from = {};
+    bytes_add(&from, before.data(), (int64_t)before.size());
+    ASSERT_EQ(record_restore(&r, &from), 0);
+    EXPECT_EQ(digest_of(&r), before);
+    EXPECT_EQ(of_job(1)->values.priority, 7);
+    EXPECT_EQ(of_job(2)->outlet, rules_outlet(&r.rules, "south"));
+    EXPECT_EQ(in_force("north", "priority"), 4);
+    EXPECT_EQ(add(1, "north"), 0);
+    EXPECT_EQ(add(2, "south"), 0);
+    ASSERT_EQ(head(2, 3, {{"priority", 3, 2, 9}}), 0);
+    EXPECT_EQ(in_force("north", "priority"), 7);
+    // a job of an outlet that is not there is no record of ours
+    std::string broken = before;
+    for (size_t cut = 0; cut < before.size(); cut += 7) {
+        from.len = (int64_t)cut;
+        EXPECT_EQ(record_restore(&r, &from), P_BAD_FRAME);
+    }
+    bytes_free(&from);
+}
+
+TEST_F(Rules, JobsWithoutAnOutletAreToldApartAsBefore)
+{
+    ASSERT_EQ(add(1, ""), 0);
+    struct bytes packed = {};
+    shape_pack(&jobUnownedShape, &record_job(&r, 1)->spec, &packed);
+    EXPECT_EQ(record_job(&r, 1)->specHash, hash_mix(hash_of(packed.at, packed.len), hash_text("a")));
+    EXPECT_EQ(packed.at[0], 0x86) << "six fields, no outlet";
+    bytes_free(&packed);
+}
+
+TEST(RuleHours, OpenWithinAndOverMidnight)
+{
+    const int64_t day = INT64_C(20000) * 86400000, hour = 3600000;
+    rule_values v;
+    shape_defaults(&ruleValuesShape, &v);
+    EXPECT_TRUE(rules_open(&v, day));
+    EXPECT_EQ(rules_opens_ms(&v, day), 0);
+    v.opensAtMin = 8 * 60;
+    EXPECT_TRUE(rules_open(&v, day)) << "one alone says nothing";
+    v.closesAtMin = 18 * 60;
+    EXPECT_FALSE(rules_open(&v, day + 8 * hour - 1));
+    EXPECT_TRUE(rules_open(&v, day + 8 * hour));
+    EXPECT_TRUE(rules_open(&v, day + 18 * hour - 1));
+    EXPECT_FALSE(rules_open(&v, day + 18 * hour));
+    EXPECT_EQ(rules_opens_ms(&v, day + 19 * hour), day + 32 * hour);
+    EXPECT_EQ(rules_opens_ms(&v, day + 7 * hour), day + 8 * hour);
+    EXPECT_EQ(rules_opened_ms(&v, day + 7 * hour), day - 16 * hour);
+    v.opensAtMin = 22 * 60, v.closesAtMin = 2 * 60;
+    EXPECT_TRUE(rules_open(&v, day + 23 * hour));
+    EXPECT_TRUE(rules_open(&v, day + hour));
+    EXPECT_FALSE(rules_open(&v, day + 2 * hour));
+    v.closesAtMin = 22 * 60;
+    EXPECT_TRUE(rules_open(&v, day + 5 * hour)) << "alike: always";
+}
+
+}  // namespace
