A start on its way is not taken for lapsed; promises outlive an agent's new process

Cause: (1) found by reading: an executor that answered nothing and had surely run out was taken for over with all ordered there, also with starts still on their way to its agent, which may find it answering again and begin them (TWICE). Reports now say the number of the newest orders taken, and later starts are left to the next report. (3) a stop asked for while an end was under way was forgotten if that end came to nothing. Orders and reports grow by a number each.

--- a/src/agent/agent_report.c
+++ b/src/agent/agent_report.c
@@ -50,6 +50,7 @@
 void agent_report_send(struct agent *a, int64_t to, int64_t now)
 {
     struct agent_report report = {.stampMs = now, .boot = a->setup.boot, .epoch = a->epoch,
+                                  .ordersTaken = a->ordersNo,
                                   .present = a->life.present, .ready = a->life.ready,
                                   .lostLives = a->lost, .nLostLives = a->nLost};
     if (a->life.present) {
--- a/src/dispatch/leader_orders.c
+++ b/src/dispatch/leader_orders.c
@@ -7,6 +7,8 @@
 
 static void add_run(struct dispatch *d, struct agent_orders *o, struct run *run, int64_t nowMs)
 {
+    if (run->ending)
+        return;
     if (run->stopping) {
         /* its start may be on the way; whatever the agent knows, a stop settles it */
         if (!run->stopSentMs || nowMs - run->stopSentMs >= RESEND_MS) {
@@ -19,6 +21,7 @@
     if (run->known || run->ending || (run->sentMs && nowMs - run->sentMs < RESEND_MS))
         return;
     run->sentMs = nowMs;
+    run->sentNo = o->number;
     (void)d;
     *list_more(o->starts, o->nStarts) =
         (struct run_start){.job = run->job->spec.id, .task = run->task, .attempt = run->attempt,
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -29,6 +29,7 @@
     struct job *job;
     int64_t no, task, attempt, life;
     int64_t placedMs, sentMs, stopSentMs, seenMs, startedMs, percent, percentMs;
+    int64_t sentNo;              /* the number of the orders that last told to start it */
     int64_t endSeq;              /* the executor's number of its end, 0: none was told */
     int stopping, ending, known, refused, holds;
 };
@@ -119,13 +120,17 @@
 struct queue_use *queue_use(struct dispatch *d, int64_t queue);
 struct record_op *dispatch_op(struct dispatch *d, int64_t kind);
 void dispatch_answer(struct dispatch *d, int64_t ticket, int64_t kind, int problem, const char *detail);
+void run_add(struct dispatch *d, struct job *job, int64_t no);
+void run_drop(struct dispatch *d, struct job *job, int64_t no);
+void run_room(struct dispatch *d, struct run *run, int64_t sign);
 struct run *run_find(struct dispatch *d, int64_t life, const struct run_ref *ref);
 struct run *run_of_row(struct dispatch *d, const struct job *job, int64_t no);
 int64_t life_find(const struct dispatch *d, const char *name);
 void run_end(struct dispatch *d, struct run *run, int64_t how, const char *saved);
 void run_stop(struct dispatch *d, struct run *run);
 void run_gang_stop(struct dispatch *d, struct job *job, int64_t no);
-void life_lapsed(struct dispatch *d, int64_t life);
+/* All there is over, but for starts ordered after the order that its agent took last. */
+void life_lapsed(struct dispatch *d, int64_t life, int64_t ordersTaken);
 
 /* leader_asks.c */
 void asks_answer_read(struct dispatch *d, int64_t ticket, const struct door_ask *ask);
--- a/src/dispatch/leader_stations.c
+++ b/src/dispatch/leader_stations.c
@@ -184,19 +184,45 @@
     for (int64_t i = 0; i < r->nLostLives; i++) {
         int64_t life = life_find(d, r->lostLives[i]);
         if (life >= 0 && d->record->lives[life].agent == s->agent)
-            life_lapsed(d, life);
+            life_lapsed(d, life, INT64_MAX);
         else
             *list_more(s->lostLives, s->nLostLives) = must_dup(r->lostLives[i]);
     }
     /* it answers nothing, and all that it was ever told to hold has run out */
-    int64_t mute = r->present && r->executor.silentMs && !r->executor.overMs ? life_find(d, r->executor.life) : -1;
+    int over = r->present && r->epoch == d->epoch && r->executor.silentMs && !r->executor.overMs;
+    int64_t mute = over ? life_find(d, r->executor.life) : -1;
     if (mute >= 0 && d->record->lives[mute].agent == s->agent)
-        life_lapsed(d, mute);
+        life_lapsed(d, mute, r->ordersTaken);
     /* another life answers at the same agent under our fence: the ones before are over */
     for (int64_t k = 0; r->present && r->ready && r->epoch == d->epoch && k < d->nTenures; k++)
         if (k < d->record->nLives && d->tenures[k].n && d->record->lives[k].agent == s->agent &&
             strcmp(d->record->lives[k].name, r->executor.life))
-            life_lapsed(d, k);
+            life_lapsed(d, k, INT64_MAX);
+}
+
+/* Room that batches under way promise on this life: it is given back as they are committed. */
+static void promises_count(struct station *s, const struct batch *batch, const char *life)
+{
+    for (int64_t i = 0; batch && i < batch->nPromises; i++) {
+        const struct promise *p = &batch->promises[i];
+        if (p->agent != s->agent || strcmp(p->life, life))
+            continue;
+        s->cpuReserved += p->cpuMilli;
+        s->memoryReserved += p->memoryMb;
+        s->gpusReserved += p->gpus;
+    }
+}
+
+static void promises_again(struct dispatch *d, struct station *s, const char *life)
+{
+    s->cpuReserved = s->memoryReserved = s->gpusReserved = 0;
+    if (!life)
+        return;
+    promises_count(s, d->open, life);
+    for (int64_t i = 0; i < d->batches.cap; i++) {
+        struct batch **batch = slab_at(&d->batches, slab_number(&d->batches, i));
+        promises_count(s, batch ? *batch : NULL, life);
+    }
 }
 
 void dispatch_report(struct dispatch *d, int64_t agent, const struct agent_report *r)
@@ -207,7 +233,7 @@
     int64_t nowMs = world_ms(d->w);
     int fresh = !s->present || !r->present || !s->executor.life || strcmp(s->executor.life, r->executor.life);
     if (fresh) {
-        s->cpuReserved = s->memoryReserved = s->gpusReserved = 0;
+        promises_again(d, s, r->present ? r->executor.life : NULL);
         s->seen = s->newestSeq = 0;
         s->slowPct = 100;
         s->badPct = s->shunUntilMs = 0;
--- a/src/dispatch/leader_watch.c
+++ b/src/dispatch/leader_watch.c
@@ -34,7 +34,7 @@
     int64_t waitMs = d->params.leaseMs * 102 / 100 + LAPSE_MARGIN_MS;
     for (int64_t k = 0; k < d->nTenures; k++)
         if (d->tenures[k].n && nowMs - d->tenures[k].grantMs > waitMs)
-            life_lapsed(d, k);
+            life_lapsed(d, k, INT64_MAX);
 }
 
 static const struct step_spec *spec_of(const struct run *run)
--- a/src/dispatch/messages.c
+++ b/src/dispatch/messages.c
@@ -26,7 +26,7 @@
 
 static const struct field reportFields[] = {
     INT(agent_report, stampMs), INT(agent_report, boot), INT(agent_report, epoch), INT(agent_report, present),
-    INT(agent_report, ready), SUB(agent_report, executor, executorStateShape),
+    INT(agent_report, ready), INT(agent_report, ordersTaken), SUB(agent_report, executor, executorStateShape),
     STRS(agent_report, lostLives, nLostLives), LIST(agent_report, active, nActive, runActiveShape),
     LIST(agent_report, pending, nPending, runRefShape), LIST(agent_report, ended, nEnded, runEndedShape),
     LIST(agent_report, refused, nRefused, runRefusedShape)};
--- a/src/dispatch/messages.h
+++ b/src/dispatch/messages.h
@@ -63,6 +63,7 @@
  * had lapsed), told until acknowledged. */
 struct agent_report {
     int64_t stampMs, boot, epoch, present, ready;
+    int64_t ordersTaken;                 /* number of the newest orders taken under this epoch */
     struct executor_state executor;
     char **lostLives;
     int64_t nLostLives;
--- a/tests/unit/leader_rig.h
+++ b/tests/unit/leader_rig.h
@@ -51,6 +51,7 @@
     int64_t agent;
     std::string life;
     int64_t cpu = 1000, epoch = 1, silentMs = 0, overMs = 5000, draining = 0, seq = 0, percent = -1;
+    int64_t ordersTaken = 0;
     bool up = true, deaf = false;
     std::set<Ref> active;
     std::vector<std::pair<Ref, std::pair<int64_t, int64_t>>> ended;      // seq, how
@@ -132,6 +133,9 @@
         copy->agent = agent;
         copy->atMs = of(arg)->now;
         shape_copy(&agentOrdersShape, &copy->o, o);
+        for (Executor &e : of(arg)->executors)
+            if (e.agent == agent && e.up && !e.deaf)
+                e.ordersTaken = o->number;
         for (Executor &e : of(arg)->executors)
             for (int64_t i = 0; i < o->nStarts && e.agent == agent && e.up && !e.deaf; i++)
                 e.active.insert({o->starts[i].job, o->starts[i].task, o->starts[i].attempt});
@@ -293,6 +297,7 @@
     {
         struct agent_report to = {};
         to.stampMs = now, to.boot = 1, to.epoch = e.epoch, to.present = 1, to.ready = 1;
+        to.ordersTaken = e.ordersTaken;
         to.executor.life = must_dup(e.life.c_str());
         to.executor.service = must_dup("work");
         to.executor.rack = must_dup("r0");
--- a/tests/unit/leader_time_test.cc
+++ b/tests/unit/leader_time_test.cc
@@ -85,6 +85,26 @@
     EXPECT_EQ(t.log[0]->end_of({1, 0, 1}), END_LAPSED);
 }
 
+// The order may still reach the agent, which then answers again and begins it.
+TEST_F(LeaderTime, AStartOnItsWayToASilentExecutorIsNotTakenForLapsed)
+{
+    Executor &e = t.executor();
+    e.deaf = true;               // whatever is ordered is still on its way
+    t.add(1, NORMAL, {Rig::step(1, 500)});
+    t.run(300);
+    t.autoCommit = false;
+    e.silentMs = 1000, e.overMs = 0;
+    t.report(e);
+    dispatch_flush(t.d);
+    EXPECT_TRUE(t.log.empty());
+    e.deaf = false;
+    t.report(e);                 // its answer is orders that the agent takes
+    t.report(e);
+    dispatch_flush(t.d);
+    ASSERT_EQ(t.log.size(), 1u);
+    EXPECT_EQ(t.log[0]->end_of({1, 0, 1}), END_LAPSED);
+}
+
 // --- time of day (fe20da2) ---
 
 TEST_F(LeaderTime, AJumpOfTheTimeOfDayThatIsTakenBackStartsNothingEarly)
