--- a/src/base/events.h
+++ b/src/base/events.h
@@ -11,7 +11,7 @@
     X(1004, EV_PARAMS_READ, LEVEL_INFO, "local settings reread") \
     X(1005, EV_PARAMS_DENIED, LEVEL_ERROR, "local settings denied, old ones kept") \
     X(1006, EV_FRAME_DROPPED, LEVEL_WARN, "a frame from outside was dropped") \
-    X(2001, EV_FOUNDED, LEVEL_INFO, "log founded by three empty keepers") \
+    X(2001, EV_FOUNDED, LEVEL_INFO, "log founded by empty voters") \
     X(2002, EV_LEADER, LEVEL_INFO, "became leader of a log") \
     X(2003, EV_FOLLOWER, LEVEL_INFO, "stepped down or follows another leader") \
     X(2004, EV_LOG_CUT, LEVEL_WARN, "torn tail of a log cut back") \
