PATCH of the configuration, by the road of PUT

Change: a patch is relayed, committed as it was sent (OP_CONFIG_PATCH) and applied by every voter to the text of the configuration in force, through the codec's patch_config(), so the log holds what changes and not 4 MiB. The version, base and hash go into the history of changes: acknowledged again, 412 to the loser. What does not fit its base is told at once with the place. The simulator's operator sends every other order as a patch.

--- a/sim/cluster_codec.c
+++ b/sim/cluster_codec.c
@@ -132,10 +132,73 @@
     return ERROR_NONE;
 }
 
+static int read_patch(struct config *config, const struct http_request *web)
+{
+    json_t *root = json_loadb(web->body ? web->body : "", (size_t)web->len, 0, NULL);
+    config->version = json_integer_value(json_object_get(root, "version"));
+    json_decref(root);
+    if (config->version < 1)
+        return ERROR_BAD_FIELD;
+    bytes_add(&config->raw, web->body, web->len);
+    return ERROR_NONE;
+}
+
+static size_t queue_index(const json_t *queues, const char *name)
+{
+    size_t i = 0;
+    while (i < json_array_size(queues) &&
+           strcmp(json_string_value(json_object_get(json_array_get(queues, i), "name")), name) != 0)
+        i++;
+    return i;
+}
+
+/* Patches look so here: {"version":2,"queues":[replaced or added],"removed":[names]}. Small lists, so no index. */
+static enum sagehitch_error patch_config(struct config *to, const struct bytes *current, const struct bytes *patch,
+                                         struct validation_error *validation_error)
+{
+    json_t *root = current->len ? json_loadb((const char *)current->at, (size_t)current->len, 0, NULL) : NULL;
+    json_t *change = json_loadb((const char *)patch->at, (size_t)patch->len, 0, NULL);
+    json_t *queues = json_object_get(root, "queues"), *item;
+    enum sagehitch_error rc = queues && change ? ERROR_NONE : ERROR_BAD_FIELD;
+    size_t i;
+    json_array_foreach(json_object_get(change, "removed"), i, item)
+    {
+        if (!rc && json_array_remove(queues, queue_index(queues, json_string_value(item))))
+            rc = ERROR_BAD_FIELD;
+    }
+    json_array_foreach(json_object_get(change, "queues"), i, item)
+    {
+        size_t at = queue_index(queues, json_string_value(json_object_get(item, "name")));
+        if (json_array_set(queues, at, item))
+            json_array_append(queues, item);
+    }
+    if (!rc) {
+        json_object_set(root, "version", json_object_get(change, "version"));
+        char *text = json_dumps(root, JSON_COMPACT);
+        rc = schema_from_text(&config_schema, to, text, (int64_t)strlen(text), validation_error);
+        bytes_add(&to->raw, text, (int64_t)strlen(text));
+        free(text);
+    }
+    if (!rc)
+        rc = config_check(to, validation_error);
+    if (rc) {
+        schema_free(&config_schema, to);
+        *to = (struct config){0};
+    }
+    json_decref(root);
+    json_decref(change);
+    return rc;
+}
+
 static int read_config(struct api_request *request, const struct http_request *web,
                        struct validation_error *validation_error)
 {
     const char *base = web->header(web, "Base");
+    if (!strcmp(web->method, "PATCH")) {
+        struct config_change *patch = api_request_make_config_patch(request);
+        patch->base = base ? text_to_int64(base) : 0;
+        return read_patch(&patch->config, web);
+    }
     if (strcmp(web->method, "PUT")) {
         api_request_make_config_get(request);
         return ERROR_NONE;
@@ -194,7 +257,7 @@
                             : body_of(response);
 }
 
-const struct api_codec cluster_api_codec = {.read = api_read, .write = api_write};
+const struct api_codec cluster_api_codec = {.read = api_read, .write = api_write, .patch_config = patch_config};
 
 /* --- executors ---------------------------------------------------------------------- */
 
--- a/sim/cluster_operator.c
+++ b/sim/cluster_operator.c
@@ -47,6 +47,40 @@
     return (char *)to.at;
 }
 
+/* The one change of this version; NULL: none, or several with other bodies. */
+static const struct op_change *only_change_of(struct cluster *c, int64_t version)
+{
+    const struct op_change *only = NULL;
+    for (int64_t i = 0; i < c->n_changes; i++) {
+        if (c->changes[i].version != version || (only && !strcmp(only->body, c->changes[i].body)))
+            continue;
+        if (only)
+            return NULL;
+        only = &c->changes[i];
+    }
+    return only;
+}
+
+/* The patch that makes body of the version it builds on; NULL: that one is not known for sure, or was invalid. */
+static char *patch_of(struct cluster *c, int64_t base, const char *body)
+{
+    const struct op_change *on = only_change_of(c, base);
+    json_t *to = json_loads(body, 0, NULL);
+    if (!on || !on->valid || !to) {
+        json_decref(to);
+        return NULL;
+    }
+    json_object_del(to, "services");
+    if (on->extra) {
+        char *name = must_printf("extra%lld", (long long)on->extra);
+        json_object_set_new(to, "removed", json_pack("[s]", name));
+        free(name);
+    }
+    char *patch = json_dumps(to, JSON_COMPACT);
+    json_decref(to);
+    return patch;
+}
+
 static void send_change(struct cluster *c, void *arg, int64_t n);
 
 /* --- what the judge makes of an answer ------------------------------------------------- */
@@ -134,10 +168,10 @@
     change->sends++;
     cluster_request(c, &(struct cluster_http_request){.to = to,
                                                       .entry = ENTRY_OPERATORS,
-                                                      .method = "PUT",
+                                                      .method = change->patch ? "PATCH" : "PUT",
                                                       .path = "/config",
                                                       .header = header,
-                                                      .body = change->body,
+                                                      .body = change->patch ? change->patch : change->body,
                                                       .wait_ms = 1000,
                                                       .answer = answered,
                                                       .arg = arg,
@@ -145,9 +179,11 @@
     free(header);
 }
 
-/* body is taken over. */
+/* body is taken over. Every other valid order goes out as a patch, where it can. */
 static void begin_order(struct cluster *c, struct op_change order)
 {
+    if (order.valid && order.version % 2 && order.base)
+        order.patch = patch_of(c, order.base, order.body);
     order.settled = order.base <= c->acked_version || order.base <= c->read_version;
     cluster_tell(c, 0, "configuration %lld on %lld is sent%s", (long long)order.version, (long long)order.base,
                  order.valid ? "" : ", invalid");
@@ -355,7 +391,7 @@
 void operator_free(struct cluster *c)
 {
     for (int64_t i = 0; i < c->n_changes; i++)
-        free(c->changes[i].body);
+        free(c->changes[i].body), free(c->changes[i].patch);
     free(c->changes);
     for (int64_t i = 0; i < c->n_config_calls; i++)
         free(c->config_calls[i].body);
--- a/sim/cluster_operator.h
+++ b/sim/cluster_operator.h
@@ -7,10 +7,11 @@
 struct host;
 
 /* One order of an operator. Invariant: stands in the list from its first sending on. settled: its base
- * was seen in force when it was first sent, so that refused means never taken. Times are 0 until they come. */
+ * was seen in force when it was first sent, so that refused means never taken. Times are 0 until they come. body: the
+ * whole configuration that it makes; patch: what is sent in its place, NULL: body itself. */
 struct op_change {
     int64_t version, base, valid, sends, refusals, acked_us, extra, settled, over;
-    char *body;
+    char *body, *patch;
 };
 enum config_outcome { CONFIG_UNKNOWN, CONFIG_TAKEN, CONFIG_REFUSED };
 /* One call of an operator as it saw it: a sending of a change, or a reading (change -1) of version and body.
--- a/src/controller/api_message.c
+++ b/src/controller/api_message.c
@@ -14,6 +14,7 @@
                "text");
 
 enum {
+    CONFIG_KINDS = KIND_BIT(REQUEST_CONFIG_PUT) | KIND_BIT(REQUEST_CONFIG_PATCH),
     JOB_ID_KINDS =
         KIND_BIT(REQUEST_STATE) | KIND_BIT(REQUEST_CANCEL) | KIND_BIT(REQUEST_WHY) | KIND_BIT(REQUEST_RULES_JOB),
     RULES_KINDS = KIND_BIT(REQUEST_RULES_PUT) | KIND_BIT(REQUEST_RULES_GET),
@@ -26,9 +27,9 @@
     STR(api_request, host),
     STR(api_request, path),
     INT_NAMED(api_request, body.job_id, "job", .kinds = JOB_ID_KINDS),
-    INT_NAMED(api_request, body.config.base, "base", .kinds = KIND_BIT(REQUEST_CONFIG_PUT)),
+    INT_NAMED(api_request, body.config.base, "base", .kinds = CONFIG_KINDS),
     SUB_NAMED(api_request, body.job, "spec", submission_schema, .kinds = KIND_BIT(REQUEST_JOB)),
-    SUB_NAMED(api_request, body.config.config, "config", config_schema, .kinds = KIND_BIT(REQUEST_CONFIG_PUT)),
+    SUB_NAMED(api_request, body.config.config, "config", config_schema, .kinds = CONFIG_KINDS),
     SUB_NAMED(api_request, body.beat, "beat", executor_beat_schema, .kinds = KIND_BIT(REQUEST_BEAT)),
     PTR_NAMED(api_request, body.rules, "rules", rules_change_schema, .kinds = RULES_KINDS)};
 SCHEMA_TAGGED(api_request_schema, api_request, api_request_fields);
@@ -47,7 +48,7 @@
 /* Ends the process unless kind is one of kinds. */
 static void check_kind(int64_t kind, uint64_t kinds)
 {
-    if (kind < REQUEST_NONE || kind > REQUEST_RULES_JOB || !(kinds & KIND_BIT(kind)))
+    if (kind < REQUEST_NONE || kind > REQUEST_CONFIG_PATCH || !(kinds & KIND_BIT(kind)))
         abort();
 }
 
@@ -99,6 +100,12 @@
     return &request->body.config;
 }
 
+struct config_change *api_request_make_config_patch(struct api_request *request)
+{
+    set_kind(request, REQUEST_CONFIG_PATCH);
+    return &request->body.config;
+}
+
 void api_request_make_config_get(struct api_request *request) { set_kind(request, REQUEST_CONFIG_GET); }
 
 void api_request_make_ready(struct api_request *request) { set_kind(request, REQUEST_READY); }
@@ -143,7 +150,7 @@
 
 const struct config_change *api_request_config(const struct api_request *request)
 {
-    check_kind(request->kind, KIND_BIT(REQUEST_CONFIG_PUT));
+    check_kind(request->kind, CONFIG_KINDS);
     return &request->body.config;
 }
 
--- a/src/controller/api_message.h
+++ b/src/controller/api_message.h
@@ -23,7 +23,8 @@
     REQUEST_WHY,           /* explains the state of a job as text, for operators */
     REQUEST_RULES_PUT,     /* changes head office's rules, or an outlet's */
     REQUEST_RULES_GET,     /* reads them */
-    REQUEST_RULES_JOB      /* reads the rules that a job was accepted under */
+    REQUEST_RULES_JOB,     /* reads the rules that a job was accepted under */
+    REQUEST_CONFIG_PATCH   /* changes named items of the configuration */
 };
 
 /* A request. Owns what it points to; schema_free() with api_request_schema frees it. */
@@ -35,7 +36,7 @@
         struct executor_beat beat;   /* REQUEST_BEAT; the largest member is first, so that {0} clears them all */
         struct job_spec job;         /* REQUEST_JOB */
         int64_t job_id;              /* REQUEST_STATE, REQUEST_CANCEL, REQUEST_WHY, REQUEST_RULES_JOB */
-        struct config_change config; /* REQUEST_CONFIG_PUT */
+        struct config_change config; /* REQUEST_CONFIG_PUT, REQUEST_CONFIG_PATCH */
         struct rules_change *rules;  /* REQUEST_RULES_PUT; REQUEST_RULES_GET: only its outlet is used */
     } body;
 };
@@ -46,6 +47,7 @@
 void api_request_make_cancel(struct api_request *request, int64_t job_id);
 void api_request_make_count(struct api_request *request);
 struct config_change *api_request_make_config_put(struct api_request *request);
+struct config_change *api_request_make_config_patch(struct api_request *request);
 void api_request_make_config_get(struct api_request *request);
 void api_request_make_ready(struct api_request *request);
 struct executor_beat *api_request_make_beat(struct api_request *request);
@@ -57,8 +59,8 @@
 
 /* Accessors, borrowed from the request. */
 const struct job_spec *api_request_job(const struct api_request *request);
-int64_t api_request_job_id(const struct api_request *request); /* of all four kinds that have it */
-const struct config_change *api_request_config(const struct api_request *request);
+int64_t api_request_job_id(const struct api_request *request);                     /* of all four kinds that have it */
+const struct config_change *api_request_config(const struct api_request *request); /* of both kinds */
 struct executor_beat *api_request_beat(struct api_request *request);
 const struct rules_change *api_request_rules(const struct api_request *request);
 const char *api_request_outlet(const struct api_request *request); /* REQUEST_RULES_GET; NULL: head office */
--- a/src/controller/codec.h
+++ b/src/controller/codec.h
@@ -2,6 +2,7 @@
 #ifndef SAGEHITCH_CONTROLLER_CODEC_H
 #define SAGEHITCH_CONTROLLER_CODEC_H
 #include "controller/api_message.h"
+#include "dispatch/record.h"
 
 /* A listening address, by whom it serves. */
 enum entry { ENTRY_CALLERS, ENTRY_OPERATORS, ENTRY_READINESS, ENTRY_COUNT };
@@ -22,5 +23,7 @@
     int (*read)(struct api_request *request, const struct http_request *web, struct validation_error *validation_error);
     /* Encodes a response as HTTP status and body; the caller free()s the body. */
     void (*write)(const struct api_response *response, int *status, char **body);
+    /* Applies a patch to the text of a configuration, see dispatch/record.h; NULL: there are no patches. */
+    config_patcher *patch_config;
 };
 #endif
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -41,6 +41,7 @@
     *record = *fresh;
     record->changed = former.changed;
     record->arg = former.arg;
+    record->patch_config = former.patch_config;
     record_end(&former);
 }
 
@@ -143,6 +144,7 @@
     c->zone = must_dup(setup->zone);
     c->votes = setup->disk;
     record_start(&c->record);
+    c->record.patch_config = setup->codec->patch_config;
     directory_start(&c->directory, w, c->cluster, NULL, 0, 1, setup->disk, setup->boot);
     controller_reread(c, setup->seeds, setup->n_seeds);
     if (c->votes && !(rc = log_identity(w, c->cluster, &c->id)))
--- a/src/controller/relay.c
+++ b/src/controller/relay.c
@@ -39,16 +39,21 @@
     free(body);
 }
 
+static int is_config_change(const struct api_request *request)
+{
+    return request->kind == REQUEST_CONFIG_PUT || request->kind == REQUEST_CONFIG_PATCH;
+}
+
 static int is_order(const struct api_request *request)
 {
-    return request->kind == REQUEST_CONFIG_PUT || request->kind == REQUEST_RULES_PUT;
+    return is_config_change(request) || request->kind == REQUEST_RULES_PUT;
 }
 
 /* For operators: an order that was not acknowledged. */
 static void note_order(struct controller *c, const struct api_request *request, int64_t error)
 {
     const char *name = error_response((int)error)->name;
-    if (request->kind == REQUEST_CONFIG_PUT)
+    if (is_config_change(request))
         world_note(c->w, EV_ORDER_REFUSED, "version=%lld base=%lld problem=%s",
                    (long long)api_request_config(request)->config.version, (long long)api_request_config(request)->base,
                    name);
@@ -99,9 +104,9 @@
 
 static int64_t time_limit_ms(const struct api_request *request)
 {
-    int64_t most_ms = request->kind == REQUEST_JOB || request->kind == REQUEST_CANCEL              ? JOB_MS
-                      : request->kind == REQUEST_CONFIG_PUT || request->kind == REQUEST_CONFIG_GET ? CONFIG_MS
-                                                                                                   : READ_MS;
+    int64_t most_ms = request->kind == REQUEST_JOB || request->kind == REQUEST_CANCEL    ? JOB_MS
+                      : is_config_change(request) || request->kind == REQUEST_CONFIG_GET ? CONFIG_MS
+                                                                                         : READ_MS;
     int64_t wait_ms = request->wait_ms > 2LL * MARGIN_MS ? request->wait_ms - MARGIN_MS : request->wait_ms / 2;
     return wait_ms > 0 && wait_ms < most_ms ? wait_ms : most_ms;
 }
@@ -119,7 +124,7 @@
                           const struct validation_error *validation_error)
 {
     char *detail = NULL;
-    if (web->entry == ENTRY_OPERATORS && !strcmp(web->method, "PUT"))
+    if (web->entry == ENTRY_OPERATORS && (!strcmp(web->method, "PUT") || !strcmp(web->method, "PATCH")))
         world_note(c->w, EV_ORDER_REFUSED, "path=%.100s problem=%s at=%s expected=%s", web->path,
                    error_response(error)->name, validation_error->path, validation_error->expected);
     if (*validation_error->path || *validation_error->expected)
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -63,7 +63,8 @@
     int64_t n_services;
     struct bytes raw;
 };
-/* A new configuration; base: the version that it was made from, and that it replaces. */
+/* A new configuration; base: the version that it was made from, and that it replaces. A patch of the configuration is
+ * one, too: it has only a version and raw, its own text. */
 struct config_change {
     int64_t base;
     struct config config;
--- a/src/dispatch/leader_requests.c
+++ b/src/dispatch/leader_requests.c
@@ -96,10 +96,32 @@
     waiter_add(dispatch, ticket, request->kind);
 }
 
+/* Answers a patch that does not fit the version it builds on: it never can, whatever else is being committed. One on
+ * another version is left to the record, which knows whether it was taken before. */
+static int patch_refused(struct dispatch *dispatch, int64_t ticket, const struct config_change *patch)
+{
+    struct config patched = {0};
+    struct validation_error validation_error = {0};
+    if (patch->base != dispatch->record->config.version || patch->config.version <= patch->base)
+        return 0;
+    enum sagehitch_error rc = record_patch_config(dispatch->record, patch, &patched, &validation_error);
+    schema_free(&config_schema, &patched);
+    if (!rc)
+        return 0;
+    char *detail = must_printf("%s: expected %s", validation_error.path, validation_error.expected);
+    dispatch_answer(dispatch, ticket, REQUEST_CONFIG_PATCH, rc, detail);
+    free(detail);
+    return 1;
+}
+
 static void request_config(struct dispatch *dispatch, int64_t ticket, const struct api_request *request)
 {
     const struct config_change *change = api_request_config(request);
-    struct config_change *op = record_op_make_config(dispatch_op(dispatch));
+    if (request->kind == REQUEST_CONFIG_PATCH && patch_refused(dispatch, ticket, change))
+        return;
+    struct config_change *op = request->kind == REQUEST_CONFIG_PATCH
+                                   ? record_op_make_config_patch(dispatch_op(dispatch))
+                                   : record_op_make_config(dispatch_op(dispatch));
     schema_copy(&config_schema, &op->config, &change->config);
     op->base = change->base;
     waiter_add(dispatch, ticket, request->kind);
@@ -255,7 +277,8 @@
     switch (request->kind) {
     case REQUEST_JOB: request_job(dispatch, ticket, request); return;
     case REQUEST_CANCEL: request_cancel(dispatch, ticket, request); return;
-    case REQUEST_CONFIG_PUT: request_config(dispatch, ticket, request); return;
+    case REQUEST_CONFIG_PUT:
+    case REQUEST_CONFIG_PATCH: request_config(dispatch, ticket, request); return;
     case REQUEST_RULES_PUT: request_rules(dispatch, ticket, request); return;
     case REQUEST_STATE:
     case REQUEST_COUNT_WAITING:
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -52,6 +52,12 @@
     int64_t removed, live; /* live: number of its live jobs */
 };
 
+/* Applies a patch, as it was sent, to the text of a configuration. Returns 0 and the new configuration, checked and
+ * with its text, in *to (zeroed before, then the caller's); or an error, described in validation_error (may be NULL),
+ * with *to empty. Must give the same result in all processes. */
+typedef enum sagehitch_error config_patcher(struct config *to, const struct bytes *current, const struct bytes *patch,
+                                            struct validation_error *validation_error);
+
 /* The record. changed is called for each row that an op changed, and with no -1 for a job that is new, over, no longer
  * live or forgotten (then record_job() no longer finds it, and it is freed after the call). Rows are still valid
  * during the call. */
@@ -69,6 +75,7 @@
     Pvoid_t incarnation_numbers; /* JudySL: name -> 1 + index into incarnations */
     void (*changed)(void *arg, struct job *job, int64_t no);
     void *arg;
+    config_patcher *patch_config; /* NULL: patches are refused with ERROR_BAD_METHOD */
 };
 
 /* Initialises an empty record; frees all it owns. */
@@ -77,6 +84,9 @@
 /* Applies one op. Returns 0, or why it changed nothing. The items of OP_PLACE, OP_END and OP_FORGET succeed or fail
  * one by one; ERROR_STALE or ERROR_GONE is returned only where none succeeded. */
 enum sagehitch_error record_apply(struct record *record, const struct record_op *op);
+/* The configuration as it would be after this patch; to and validation_error: as for config_patcher. */
+enum sagehitch_error record_patch_config(const struct record *record, const struct config_change *patch,
+                                         struct config *to, struct validation_error *validation_error);
 /* The outcome of each op of a batch: 0 or an error, in their order. */
 struct record_result {
     int64_t *errors;
--- a/src/dispatch/record_op.c
+++ b/src/dispatch/record_op.c
@@ -5,11 +5,13 @@
 
 _Static_assert(sizeof(struct job_op) == sizeof(((struct record_op *)NULL)->body), "the largest member is first");
 
+enum { CONFIG_KINDS = KIND_BIT(OP_CONFIG) | KIND_BIT(OP_CONFIG_PATCH) };
+
 static const struct field op_fields[] = {
     INT(record_op, kind),
     INT_NAMED(record_op, at_ms, "atMs"),
-    SUB_NAMED(record_op, body.config.config, "config", config_schema, .kinds = KIND_BIT(OP_CONFIG)),
-    INT_NAMED(record_op, body.config.base, "base", .kinds = KIND_BIT(OP_CONFIG)),
+    SUB_NAMED(record_op, body.config.config, "config", config_schema, .kinds = CONFIG_KINDS),
+    INT_NAMED(record_op, body.config.base, "base", .kinds = CONFIG_KINDS),
     SUB_NAMED(record_op, body.job.spec, "spec", submission_schema, .kinds = KIND_BIT(OP_JOB)),
     STR_NAMED(record_op, body.job.queue, "queue", .kinds = KIND_BIT(OP_JOB)),
     INT_NAMED(record_op, body.cancelled, "job", .kinds = KIND_BIT(OP_CANCEL)),
@@ -45,6 +47,12 @@
     return &op->body.config;
 }
 
+struct config_change *record_op_make_config_patch(struct record_op *op)
+{
+    set_kind(op, OP_CONFIG_PATCH);
+    return &op->body.config;
+}
+
 struct job_op *record_op_make_job(struct record_op *op)
 {
     set_kind(op, OP_JOB);
@@ -86,7 +94,8 @@
 
 const struct config_change *record_op_config(const struct record_op *op)
 {
-    check_kind(op, OP_CONFIG);
+    if (op->kind != OP_CONFIG_PATCH)
+        check_kind(op, OP_CONFIG);
     return &op->body.config;
 }
 
--- a/src/dispatch/record_op.h
+++ b/src/dispatch/record_op.h
@@ -11,7 +11,7 @@
 #include "rules/rules.h"
 
 /* Kinds of ops. The numbers are stored in the log. */
-enum record_op_kind { OP_NONE, OP_CONFIG, OP_JOB, OP_CANCEL, OP_PLACE, OP_END, OP_FORGET, OP_RULES };
+enum record_op_kind { OP_NONE, OP_CONFIG, OP_JOB, OP_CANCEL, OP_PLACE, OP_END, OP_FORGET, OP_RULES, OP_CONFIG_PATCH };
 
 /* OP_JOB: a job is accepted in the queue of this name. */
 struct job_op {
@@ -41,9 +41,9 @@
     int64_t kind;  /* enum record_op_kind */
     int64_t at_ms; /* time of day at the leader */
     union {
-        struct job_op job; /* the largest member is first, so that {0} clears them all */
-        struct config_change config;
-        int64_t cancelled; /* OP_CANCEL: id of the job */
+        struct job_op job;           /* the largest member is first, so that {0} clears them all */
+        struct config_change config; /* OP_CONFIG, OP_CONFIG_PATCH */
+        int64_t cancelled;           /* OP_CANCEL: id of the job */
         struct place_op place;
         struct end_op end;
         struct forget_op forget;
@@ -60,6 +60,7 @@
 
 /* Constructors. op is zeroed but for at_ms; it owns what is put into the members returned. */
 struct config_change *record_op_make_config(struct record_op *op);
+struct config_change *record_op_make_config_patch(struct record_op *op);
 struct job_op *record_op_make_job(struct record_op *op);
 void record_op_make_cancel(struct record_op *op, int64_t job);
 struct place_op *record_op_make_place(struct record_op *op);
@@ -68,7 +69,7 @@
 struct rules_change *record_op_make_rules(struct record_op *op); /* zeroed */
 
 /* Accessors, borrowed from the op. */
-const struct config_change *record_op_config(const struct record_op *op);
+const struct config_change *record_op_config(const struct record_op *op); /* of both kinds */
 const struct job_op *record_op_job(const struct record_op *op);
 int64_t record_op_cancelled(const struct record_op *op);
 const struct place_op *record_op_place(const struct record_op *op);
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -10,21 +10,9 @@
     return a->len == b->len && (!a->len || !memcmp(a->at, b->at, (size_t)a->len));
 }
 
-static enum sagehitch_error apply_config(struct record *record, const struct record_op *op)
+/* The current configuration becomes this one. */
+static void config_replace(struct record *record, const struct config *config)
 {
-    const struct config_change *proposed = record_op_config(op);
-    const struct config *config = &proposed->config;
-    enum sagehitch_error rc = config_check(config, NULL);
-    if (rc)
-        return rc;
-    struct taken_change change = {
-        .version = config->version, .base = proposed->base, .hash = change_hash(config->raw.at, config->raw.len)};
-    if (config->version <= record->config.version)
-        return change_history_check(&record->config_history,
-                                    &change); /* a repetition, or lost against another change */
-    if (proposed->base != record->config.version)
-        return ERROR_STALE;
-    change_history_add(&record->config_history, &change);
     schema_free(&config_schema, &record->config);
     schema_copy(&config_schema, &record->config, config);
     record->queues =
@@ -44,9 +32,41 @@
         queue->removed = 0;
     }
     JudySLFreeArray(&numbers, PJE0);
+}
+
+static enum sagehitch_error apply_config(struct record *record, const struct record_op *op)
+{
+    const struct config_change *proposed = record_op_config(op);
+    const struct config *config = &proposed->config;
+    enum sagehitch_error rc = config_check(config, NULL);
+    if (rc)
+        return rc;
+    struct taken_change change = {
+        .version = config->version, .base = proposed->base, .hash = change_hash(config->raw.at, config->raw.len)};
+    if (op->kind == OP_CONFIG_PATCH)
+        change.hash = ~change.hash; /* never the same order as a whole configuration of this text */
+    if (config->version <= record->config.version)
+        return change_history_check(&record->config_history,
+                                    &change); /* a repetition, or lost against another change */
+    if (proposed->base != record->config.version)
+        return ERROR_STALE;
+    struct config patched = {0};
+    if (op->kind == OP_CONFIG_PATCH && (rc = record_patch_config(record, proposed, &patched, NULL)))
+        return rc;
+    change_history_add(&record->config_history, &change);
+    config_replace(record, op->kind == OP_CONFIG_PATCH ? &patched : config);
+    schema_free(&config_schema, &patched);
     return ERROR_NONE;
 }
 
+enum sagehitch_error record_patch_config(const struct record *record, const struct config_change *patch,
+                                         struct config *to, struct validation_error *validation_error)
+{
+    if (!record->patch_config)
+        return validation_error_named(validation_error, ERROR_BAD_METHOD, "", "method", "a whole configuration");
+    return record->patch_config(to, &record->config.raw, &patch->config.raw, validation_error);
+}
+
 int job_same(const struct job *job, const struct job_spec *spec, const char *queue)
 {
     if (job->spec_hash != job_hash(spec, queue))
@@ -157,7 +177,8 @@
 {
     const struct rules_change *rules;
     switch (op->kind) {
-    case OP_CONFIG: return apply_config(record, op);
+    case OP_CONFIG:
+    case OP_CONFIG_PATCH: return apply_config(record, op);
     case OP_JOB: return apply_job(record, record_op_job(op), op->at_ms);
     case OP_CANCEL: return apply_cancel(record, op);
     case OP_PLACE: return record_apply_place(record, record_op_place(op), op->at_ms);
--- a/tests/model/controller_node.cc
+++ b/tests/model/controller_node.cc
@@ -77,7 +77,7 @@
 /* All that bootstrap and membership own. A new pointer in struct controller must be copied here. */
 void Node::copy_controller(const Node &other)
 {
-    static_assert(sizeof(struct controller) == 6168,
+    static_assert(sizeof(struct controller) == 6176,
                   "struct controller has changed: copy here what it owns, then put its size");
     const struct controller &from = other.controller;
     controller = from;
--- a/tests/proc/relay_client.h
+++ b/tests/proc/relay_client.h
@@ -69,7 +69,7 @@
         "kind " + std::to_string(answer->kind) + " " + (answer->error ? error_response((int)answer->error)->name : raw);
     *body = must_dup(text.c_str());
 }
-inline const struct api_codec relay_codec = {read_request, write_answer};
+inline const struct api_codec relay_codec = {read_request, write_answer, nullptr};
 
 // --- what was asked and told
 // -------------------------------------------------------------------------------------------
--- a/tests/unit/agent_executor.h
+++ b/tests/unit/agent_executor.h
@@ -134,7 +134,7 @@
     *status = answer->error ? error_response((int)answer->error)->status : 200;
     *body = must_dup("");
 }
-const struct api_codec api_codec = {api_read, api_write};
+const struct api_codec api_codec = {api_read, api_write, nullptr};
 
 // --- the executor -----------------------------------------------------------
 
--- a/tests/unit/api_message_test.cc
+++ b/tests/unit/api_message_test.cc
@@ -28,6 +28,7 @@
     {REQUEST_CANCEL, [](api_request *r) { api_request_make_cancel(r, 7); }},
     {REQUEST_COUNT_WAITING, api_request_make_count},
     {REQUEST_CONFIG_PUT, [](api_request *r) { api_request_make_config_put(r); }},
+    {REQUEST_CONFIG_PATCH, [](api_request *r) { api_request_make_config_patch(r); }},
     {REQUEST_CONFIG_GET, api_request_make_config_get},
     {REQUEST_READY, api_request_make_ready},
     {REQUEST_BEAT, [](api_request *r) { api_request_make_beat(r); }},
@@ -52,7 +53,7 @@
     }
 }
 
-const int64_t unknown_kinds[] = {-1, 0, REQUEST_RULES_JOB + 1, 62, 63, 64, INT64_MAX, INT64_MIN};
+const int64_t unknown_kinds[] = {-1, 0, REQUEST_CONFIG_PATCH + 1, 62, 63, 64, INT64_MAX, INT64_MIN};
 
 } // namespace
 
@@ -61,7 +62,7 @@
     readable({REQUEST_JOB}, [](api_request *r) { api_request_job(r); });
     readable({REQUEST_STATE, REQUEST_CANCEL, REQUEST_WHY, REQUEST_RULES_JOB},
              [](api_request *r) { EXPECT_EQ(api_request_job_id(r), 7); });
-    readable({REQUEST_CONFIG_PUT}, [](api_request *r) { api_request_config(r); });
+    readable({REQUEST_CONFIG_PUT, REQUEST_CONFIG_PATCH}, [](api_request *r) { api_request_config(r); });
     readable({REQUEST_BEAT}, [](api_request *r) { api_request_beat(r); });
     readable({REQUEST_RULES_PUT}, [](api_request *r) { EXPECT_STREQ(api_request_rules(r)->outlet, "north"); });
     readable({REQUEST_RULES_GET}, [](api_request *r) { EXPECT_STREQ(api_request_outlet(r), "north"); });
--- a/tests/unit/record_op_test.cc
+++ b/tests/unit/record_op_test.cc
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 extern "C" {
 #include "dispatch/record_op.h"
@@ -19,6 +20,7 @@
 // One of each kind.
 const std::map<int64_t, std::function<void(record_op *)>> makers = {
     {OP_CONFIG, [](record_op *op) { record_op_make_config(op)->base = 4; }},
+    {OP_CONFIG_PATCH, [](record_op *op) { record_op_make_config_patch(op)->base = 4; }},
     {OP_JOB, [](record_op *op) { record_op_make_job(op)->queue = must_dup("a"); }},
     {OP_CANCEL, [](record_op *op) { record_op_make_cancel(op, 7); }},
     {OP_PLACE, [](record_op *op) { record_op_make_place(op)->agent = 77; }},
@@ -27,7 +29,7 @@
     {OP_RULES, [](record_op *op) { record_op_make_rules(op)->base = 3; }}};
 
 // The accessor works on ops of this kind, and ends the process on all others.
-void readable(int64_t kind, const std::function<void(record_op *)> &read)
+void readable(const std::set<int64_t> &kinds, const std::function<void(record_op *)> &read)
 {
     Op none;
     EXPECT_DEATH(read(&none.op), "");
@@ -35,7 +37,7 @@
         Op made;
         make(&made.op);
         EXPECT_EQ(made.op.kind, other);
-        if (other == kind)
+        if (kinds.count(other))
             read(&made.op);
         else
             EXPECT_DEATH(read(&made.op), "") << other;
@@ -46,15 +48,15 @@
 
 TEST(RecordOpDeathTest, MembersOfOtherKinds)
 {
-    readable(OP_CONFIG, [](record_op *op) { EXPECT_EQ(record_op_config(op)->base, 4); });
-    readable(OP_JOB, [](record_op *op) { EXPECT_STREQ(record_op_job(op)->queue, "a"); });
-    readable(OP_CANCEL, [](record_op *op) { EXPECT_EQ(record_op_cancelled(op), 7); });
-    readable(OP_PLACE, [](record_op *op) { EXPECT_EQ(record_op_place(op)->agent, 77); });
-    readable(OP_PLACE, [](record_op *op) { EXPECT_EQ(record_op_append_place(op)->agent, 77); });
-    readable(OP_END, [](record_op *op) { EXPECT_EQ(record_op_end(op)->n_ended, 0); });
-    readable(OP_END, [](record_op *op) { EXPECT_EQ(record_op_append_end(op)->n_ended, 0); });
-    readable(OP_FORGET, [](record_op *op) { EXPECT_EQ(record_op_forget(op)->n_jobs, 0); });
-    readable(OP_RULES, [](record_op *op) { EXPECT_EQ(record_op_rules(op)->base, 3); });
+    readable({OP_CONFIG, OP_CONFIG_PATCH}, [](record_op *op) { EXPECT_EQ(record_op_config(op)->base, 4); });
+    readable({OP_JOB}, [](record_op *op) { EXPECT_STREQ(record_op_job(op)->queue, "a"); });
+    readable({OP_CANCEL}, [](record_op *op) { EXPECT_EQ(record_op_cancelled(op), 7); });
+    readable({OP_PLACE}, [](record_op *op) { EXPECT_EQ(record_op_place(op)->agent, 77); });
+    readable({OP_PLACE}, [](record_op *op) { EXPECT_EQ(record_op_append_place(op)->agent, 77); });
+    readable({OP_END}, [](record_op *op) { EXPECT_EQ(record_op_end(op)->n_ended, 0); });
+    readable({OP_END}, [](record_op *op) { EXPECT_EQ(record_op_append_end(op)->n_ended, 0); });
+    readable({OP_FORGET}, [](record_op *op) { EXPECT_EQ(record_op_forget(op)->n_jobs, 0); });
+    readable({OP_RULES}, [](record_op *op) { EXPECT_EQ(record_op_rules(op)->base, 3); });
 }
 
 TEST(RecordOpDeathTest, AnOpIsMadeOnce)
