Pace from runs of the same step; next steps placed behind ends being committed

Change 1: a run is compared with those of its own step that ended before. Cause 2: a step's tasks were placed once the ends of the step before were committed: two commits between two steps, and room stood empty for one.

--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -40,6 +40,8 @@
     struct dispatch *dispatch = arg;
     dispatch->plan_due = 1;
     if (no < 0) {
+        if (job_over(job))
+            steps_forget(dispatch, job);
         if (!job_over(job) || !job->rows)
             return;
         for (int64_t i = 0; i < job->times * job->tasks; i++) {
@@ -161,6 +163,7 @@
     free(dispatch->uses);
     dispatch->uses = NULL;
     dispatch->n_uses = 0;
+    steps_forget_all(dispatch);
     J1FA(freed, dispatch->busy);
     JLFA(freed, dispatch->run_incarnations);
     JLFA(freed, dispatch->agent_executor_views);
@@ -235,6 +238,7 @@
         if (!run || run->attempt != batch->ends[i].attempt)
             continue;
         run->ending = 0;
+        step_end_settled(dispatch, run);
         run_room(dispatch, run, 1);
     }
     dispatch->plan_due = 1;
--- a/src/dispatch/leader_executor_views.c
+++ b/src/dispatch/leader_executor_views.c
@@ -6,7 +6,7 @@
 #include "base/error.h"
 #include "dispatch/leader_state.h"
 
-enum { QUARANTINE_MS = 4000, QUARANTINE_BAD_PCT = 60, SLOW_PCT_MAX = 1500 };
+enum { QUARANTINE_MS = 4000, QUARANTINE_BAD_PCT = 60 };
 
 struct executor_view *executor_view_of(struct dispatch *dispatch, int64_t agent)
 {
@@ -81,27 +81,6 @@
     world_note(dispatch->world, EV_QUARANTINE, "executor=%s", view->executor.incarnation);
 }
 
-/* Updates how long runs take on this executor, relative to their estimates and to other executors. */
-static void pace_learn(struct dispatch *dispatch, struct executor_view *view, const struct run *run)
-{
-    int64_t took_ms = world_ms(dispatch->world) - (run->started_ms ? run->started_ms : run->placed_ms);
-    int64_t time, step, index;
-    job_place(run->job, run->no, &time, &step, &index);
-    int64_t estimate_ms = run->job->spec.steps[step].estimate_ms;
-    if (estimate_ms < 20 || took_ms < 0)
-        return;
-    int64_t pct = took_ms * 100 / estimate_ms;
-    if (pct > 2000)
-        pct = 2000;
-    int64_t relative_pct = pct * 100 / (dispatch->typical_pct > 10 ? dispatch->typical_pct : 10);
-    dispatch->typical_pct += (pct - dispatch->typical_pct) / 32;
-    if (relative_pct > SLOW_PCT_MAX)
-        relative_pct = SLOW_PCT_MAX;
-    view->slow_pct += (relative_pct - view->slow_pct) / 6;
-    if (view->slow_pct < 30)
-        view->slow_pct = 30;
-}
-
 int64_t executor_view_seen(const struct dispatch *dispatch, struct executor_view *view, int64_t incarnation)
 {
     int64_t seen = view->newest_seq;
@@ -133,7 +112,7 @@
         if (run->ending)
             continue;
         if (ended->how == END_DONE)
-            pace_learn(dispatch, view, run);
+            step_pace_learn(dispatch, view, run);
         if (ended->how == END_DONE || ended->how == END_FAILED)
             executor_view_judge(dispatch, view, ended->how == END_FAILED, 1);
         run_end(dispatch, run, ended->how, ended->saved);
--- a/src/dispatch/leader_place.c
+++ b/src/dispatch/leader_place.c
@@ -77,6 +77,8 @@
     return run && (run->stopping || run->ending);
 }
 
+static int64_t ends_pending(void *arg, const struct job *job, int64_t no) { return step_ends_pending(arg, job, no); }
+
 /* The open batch's op for placements on this candidate since from_op: one op for each executor. All of a gang's ops are
  * in one batch. */
 static struct place_op *place_op_of(struct dispatch *dispatch, const struct candidate *candidate, int64_t from_op)
@@ -151,6 +153,7 @@
                                .most = PLACEMENTS_MAX,
                                .keep_free = dispatch->keep_free,
                                .busy = is_busy,
+                               .ends_pending = ends_pending,
                                .arg = dispatch};
     plan_make(&input, plan);
     int64_t from_op = dispatch->open ? dispatch->open->ops.n : 0;
--- a/src/dispatch/leader_runs.c
+++ b/src/dispatch/leader_runs.c
@@ -113,6 +113,7 @@
         if (state->runs[i].job != job || state->runs[i].no != no)
             continue;
         run_room(dispatch, &state->runs[i], -1);
+        step_end_settled(dispatch, &state->runs[i]);
         struct executor_view *view =
             state->runs[i].end_seq ? executor_view_of_incarnation(dispatch, state->runs[i].incarnation) : NULL;
         if (view)
@@ -161,6 +162,9 @@
     if (run->ending)
         return;
     run->ending = 1;
+    dispatch->plan_due = 1;
+    if (how == END_DONE)
+        step_end_pending(dispatch, run);
     run_room(dispatch, run, -1); /* what is placed there is committed behind this end */
     struct end_op *op = end_op_open(dispatch);
     *list_more(op->ended, op->n_ended) = (struct run_ended){.job = run->job->spec.id,
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -37,6 +37,7 @@
     int64_t end_seq; /* sequence number of its end at the executor, 0: none reported */
     int stopping;    /* to be stopped */
     int ending;      /* its end is being committed */
+    int end_pending; /* and it is DONE: counted in n_ends_pending of its step */
     int known;       /* the newest report shows that the agent has the order */
     int refused;     /* the executor refused to start it */
     int holds;       /* its room is counted in incarnation_state */
@@ -71,6 +72,12 @@
     int64_t n_absent_runs;
 };
 
+/* The leader's view of one step in one repetition. n_ended, ended_ms: runs that ended as DONE, and the sum of their
+ * durations as if near their data; n_ends_pending: runs whose end as DONE is being committed. */
+struct step_progress {
+    int64_t n_ended, ended_ms, n_ends_pending;
+};
+
 /* CPU used by a queue's runs, now and as a moving average: thousandths and millionths of a core. */
 struct queue_use {
     int64_t cpu_milli, mean_micro;
@@ -114,22 +121,23 @@
     int64_t n_incarnation_states;
     struct executor_view **executor_views;
     int64_t n_executor_views;
-    struct queue_use *uses;                            /* by queue of the record */
-    int64_t n_uses, *keep_free;                        /* keep_free: see struct plan_input */
-    struct batch *open;                                /* gathers until the next flush */
-    struct slab batches;                               /* of struct batch *, proposed and not committed; by tag */
-    struct slab readers;                               /* of struct reader, by tag */
-    Pvoid_t busy;                                      /* Judy1: row_key() of rows in reservations */
-    Pvoid_t run_incarnations;                          /* JudyL: row_key() -> incarnation whose state has the run */
-    Pvoid_t agent_executor_views;                      /* JudyL: agent -> executor view */
-    int64_t plan_due, plan_at_ms;                      /* a planning round is due now; at the latest at */
+    struct queue_use *uses;       /* by queue of the record */
+    int64_t n_uses, *keep_free;   /* keep_free: see struct plan_input */
+    struct batch *open;           /* gathers until the next flush */
+    struct slab batches;          /* of struct batch *, proposed and not committed; by tag */
+    struct slab readers;          /* of struct reader, by tag */
+    Pvoid_t busy;                 /* Judy1: row_key() of rows in reservations */
+    Pvoid_t run_incarnations;     /* JudyL: row_key() -> incarnation whose state has the run */
+    Pvoid_t steps;                /* JudyL: row_key() of the step's first row -> struct step_progress, owned */
+    Pvoid_t agent_executor_views; /* JudyL: agent -> executor view */
+    int64_t plan_due, plan_at_ms; /* a planning round is due now; at the latest at */
     int64_t preempt_ms, timer_ms, forget_ms, watch_ms; /* when next, or (timer_ms) the newest tick */
     struct plan plan;                                  /* reused between rounds, saves allocations */
     struct candidate *candidates;
     int64_t n_candidates;
     int64_t wall_ahead_ms;                /* accepted offset of the time of day to the steady clock */
     int64_t wall_since_ms, wall_doubt_ms; /* accepted since; a jump is being observed since, 0: none */
-    int64_t typical_pct;                  /* mean duration of runs in percent of their estimates */
+    int64_t typical_pct;                  /* mean duration of runs in percent of earlier ones of their step */
 };
 
 /* Key of a row in busy and run_incarnations. */
@@ -182,6 +190,19 @@
 /* The seq up to which all ends of the incarnation (-1: none placed) are committed; never falls. */
 int64_t executor_view_seen(const struct dispatch *dispatch, struct executor_view *view, int64_t incarnation);
 
+/* leader_steps.c */
+/* A run ended as DONE: updates the pace of its executor, relative to the others, from runs of the same step, whose work
+ * is alike. Estimates may be far off, and say nothing of an executor. */
+void step_pace_learn(struct dispatch *dispatch, struct executor_view *view, const struct run *run);
+/* The run's end as DONE is being committed; it is committed, or was not. */
+void step_end_pending(struct dispatch *dispatch, struct run *run);
+void step_end_settled(struct dispatch *dispatch, struct run *run);
+/* How many runs of the step whose first row this is have such an end. */
+int64_t step_ends_pending(const struct dispatch *dispatch, const struct job *job, int64_t first);
+/* Forgets the steps of a job that is over, or of all jobs. */
+void steps_forget(struct dispatch *dispatch, const struct job *job);
+void steps_forget_all(struct dispatch *dispatch);
+
 /* leader_orders.c */
 /* Sends an agent its orders. stamp_ms: of the report they answer, 0: of none. */
 void orders_send(struct dispatch *dispatch, struct executor_view *view, int64_t stamp_ms);
--- a/src/dispatch/plan.h
+++ b/src/dispatch/plan.h
@@ -40,6 +40,9 @@
     const int64_t *keep_free;
     /* whether an op on this row is in progress. WAITING: it is being placed; PLACED: it is being stopped */
     int (*busy)(void *arg, const struct job *job, int64_t no);
+    /* how many PLACED rows of the step whose first row this is will be DONE by ops proposed before this round's; NULL:
+     * none is known */
+    int64_t (*ends_pending)(void *arg, const struct job *job, int64_t first);
     void *arg;
 };
 struct plan_round;
--- a/src/dispatch/plan_round.c
+++ b/src/dispatch/plan_round.c
@@ -143,6 +143,19 @@
     return due_ms ? due_ms - in->early_ms * EARLY_PCT / 100 : 0;
 }
 
+/* Whether a step may be placed: all before it are done, or will be by what is committed ahead of this round. */
+static int step_begins(const struct plan_input *in, const struct job *job, int64_t time, int64_t step)
+{
+    const struct step_spec *spec = &job->spec.steps[step];
+    for (int64_t i = 0; i < spec->n_depends_on; i++) {
+        int64_t before = spec->depends_on[i], left = job->left[time * job->spec.n_steps + before];
+        if (left &&
+            (!in->ends_pending || left > in->ends_pending(in->arg, job, time * job->tasks + job->first[before])))
+            return 0;
+    }
+    return 1;
+}
+
 void plan_round_begin(struct plan_round *round, const struct plan_input *in, int64_t *next_due_ms)
 {
     round->in = in;
@@ -166,7 +179,7 @@
             if (job->rules && !turns_open(round, job, time, next_due_ms))
                 continue;
             for (int64_t step = 0; step < job->spec.n_steps; step++) {
-                if (job->waiting[time * job->spec.n_steps + step] <= 0 || !job_step_begins(job, time, step))
+                if (job->waiting[time * job->spec.n_steps + step] <= 0 || !step_begins(in, job, time, step))
                     continue;
                 aim_ms = aim_ms ? aim_ms : job_aim_ms(in->record, job, rest);
                 entry_add(round, job, time, step, aim_ms, rest[step]);
@@ -230,9 +243,12 @@
         since_ms = due_ms;
     for (int64_t i = 0; i < step->n_depends_on; i++) {
         int64_t first = base + job->first[step->depends_on[i]];
-        for (int64_t no = first; no < first + job->spec.steps[step->depends_on[i]].task_count; no++)
+        for (int64_t no = first; no < first + job->spec.steps[step->depends_on[i]].task_count; no++) {
+            if (job->rows[no].state != ROW_DONE)
+                return 0; /* its end is being committed */
             if (job->rows[no].since_ms > since_ms)
                 since_ms = job->rows[no].since_ms;
+        }
     }
     return round->in->wall_ms - since_ms;
 }
