--- a/src/keeper/replace.c
+++ b/src/keeper/replace.c
@@ -68,7 +68,7 @@
     for (int64_t i = 0; gone && i < log->members.n; i++) {
         const struct log_member *m = &log->members.members[i];
         if (!m->voter && m->addr == gone->addr && m->id != gone->id && !is_gone(k, log, m) && caught_up(log, m)) {
-            log_replace(log, gone->id, m->id);
+            log_exchange(log, gone->id, m->id); /* its disk may come back */
             return;
         }
     }
--- a/tests/sim/disks.h
+++ b/tests/sim/disks.h
@@ -23,6 +23,15 @@
         machine *leader = sim_leader(&s, group);
         return leader && m->up && log_voter(&leader->core.keeper.logs[group], m->core.keeper.id);
     }
+    // Whether it votes by a change that is committed: until then the vote is not passed on, and a second loss beside
+    // the one being repaired is more than three voters bear, since the first disk may come back
+    // (DiskThatWasTakenForGoneIsBack).
+    bool voted(machine *m, int64_t group)
+    {
+        machine *leader = sim_leader(&s, group);
+        const struct log *log = leader ? &leader->core.keeper.logs[group] : nullptr;
+        return log && votes(m, group) && log->commit >= log->members_index;
+    }
     // Accepts n jobs and returns their ids.
     std::vector<std::string> accept(int n, const std::string &tag)
     {
