Room is kept free for what urgent queues ask for, not for what they got

Cause: the room kept free of patient work followed the mean use of more urgent queues, and use is small just where patient work holds the room. Change: the mean is of use and of what blocked tasks request.

--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -78,7 +78,8 @@
     int64_t n_ended, ended_ms, n_ends_pending;
 };
 
-/* CPU used by a queue's runs, now and as a moving average: thousandths and millionths of a core. */
+/* CPU used by a queue's runs, in thousandths of a core, and the moving average of what it uses and waits for, in
+ * millionths. */
 struct queue_use {
     int64_t cpu_milli, mean_micro;
 };
--- a/src/dispatch/leader_watch.c
+++ b/src/dispatch/leader_watch.c
@@ -98,12 +98,19 @@
     }
 }
 
-/* Updates the moving averages of the queues' use. */
+/* What a queue uses and what its blocked tasks request: what it uses alone says little where others hold the room. */
+static int64_t demand_cpu_milli(const struct dispatch *dispatch, int64_t queue)
+{
+    int64_t blocked = queue < dispatch->plan.cap_blocked ? dispatch->plan.blocked_cpu_milli[queue] : 0;
+    return dispatch->uses[queue].cpu_milli + blocked;
+}
+
+/* Updates the moving averages of the queues' demand. */
 static void watch_uses(struct dispatch *dispatch)
 {
     for (int64_t i = 0; i < dispatch->n_uses; i++)
         dispatch->uses[i].mean_micro +=
-            (dispatch->uses[i].cpu_milli * 1000 - dispatch->uses[i].mean_micro) * WATCH_MS / MEAN_MS;
+            (demand_cpu_milli(dispatch, i) * 1000 - dispatch->uses[i].mean_micro) * WATCH_MS / MEAN_MS;
 }
 
 static void watch_old_jobs(struct dispatch *dispatch)
--- a/src/dispatch/plan.c
+++ b/src/dispatch/plan.c
@@ -73,6 +73,7 @@
     struct plan_round *round = plan->round;
     int64_t priority = JOB_RULED(round->in->record, entry->job, priority);
     plan->blocked += n;
+    plan->blocked_cpu_milli[entry->job->queue] += n * entry_step(entry)->cpu_milli;
     if (priority < plan->blocked_priority) {
         plan->blocked_priority = priority;
         plan->blocked_ms = plan_waited_ms(round, entry);
@@ -140,12 +141,21 @@
     return 1;
 }
 
+static void blocked_clear(struct plan *plan, int64_t n_queues)
+{
+    plan->blocked = plan->blocked_ms = 0;
+    plan->blocked_priority = INT64_MAX;
+    plan->blocked_cpu_milli =
+        plan_array_reserve(plan->blocked_cpu_milli, &plan->cap_blocked, n_queues, sizeof *plan->blocked_cpu_milli);
+    memset(plan->blocked_cpu_milli, 0, sizeof *plan->blocked_cpu_milli * (size_t)plan->cap_blocked);
+}
+
 void plan_make(const struct plan_input *input, struct plan *plan)
 {
     if (!plan->round)
         plan->round = must_alloc(sizeof *plan->round);
-    plan->n = plan->blocked = plan->blocked_ms = 0;
-    plan->blocked_priority = INT64_MAX;
+    plan->n = 0;
+    blocked_clear(plan, input->record->n_queues);
     plan_round_begin(plan->round, input, &plan->next_due_ms);
     for (int64_t i = 0; i < plan->round->n_entries; i++)
         if (!place_entry(plan, &plan->round->entries[i]))
@@ -158,5 +168,6 @@
         plan_round_free(plan->round);
     free(plan->round);
     free(plan->places);
+    free(plan->blocked_cpu_milli);
     *plan = (struct plan){.places = NULL};
 }
--- a/src/dispatch/plan.h
+++ b/src/dispatch/plan.h
@@ -53,8 +53,10 @@
     struct plan_round *round; /* internal */
     struct placement *places;
     int64_t n;
-    int64_t next_due_ms;      /* time of day at which the next repetition may begin; INT64_MAX: none */
-    int64_t blocked;          /* tasks ready to start that found no room */
+    int64_t next_due_ms;        /* time of day at which the next repetition may begin; INT64_MAX: none */
+    int64_t blocked;            /* tasks ready to start that found no room */
+    int64_t *blocked_cpu_milli; /* by queue: what these request together; owned, cap_blocked entries */
+    int64_t cap_blocked;
     int64_t blocked_ms;       /* how long the most urgent of them has waited */
     int64_t blocked_priority; /* the most urgent priority among them; INT64_MAX: none */
 };
