A poll waits little longer than ends usually take

Change: a poll waits for three times the usual time between ends, or three times the quiet since the last, 1.5 s at most as before. Executors with long tasks are polled as seldom as before.

--- a/src/agent/agent_calls.c
+++ b/src/agent/agent_calls.c
@@ -127,7 +127,7 @@
         !last) {
         int64_t held = request.expires_ms ? request.expires_ms : incarnation->held_ms;
         wait_ms = held - clock - RENEW_MS;
-        int64_t most = agent_in_doubt(incarnation, now) ? POLL_DOUBT_MS : POLL_MS;
+        int64_t most = agent_poll_most(incarnation, now);
         wait_ms = wait_ms < POLL_LEAST_MS ? POLL_LEAST_MS : wait_ms > most ? most : wait_ms;
     }
     struct executor_call call = {0};
--- a/src/agent/agent_responses.c
+++ b/src/agent/agent_responses.c
@@ -83,7 +83,10 @@
         return;
     struct run_lists *lists = executor_response_lists(response);
     int whole = lists->n_ended < ENDED_MOST;
+    int64_t known = incarnation->lists.n_ended;
     agent_lists_take(agent, lists);
+    if (incarnation->lists.n_ended > known)
+        agent_ends_noted(incarnation, incarnation->lists.n_ended - known, now);
     if (!incarnation->ready)
         incarnation->ready = agent->report_due = 1;
     agent_works_polled(agent, request->number, whole, now);
@@ -97,7 +100,10 @@
     work->answered_no = agent->number;
     work->answered_ms = now;
     switch (refusal_of(response)) {
-    case REFUSED_NOT: work->state = WORK_STARTED; return;
+    case REFUSED_NOT:
+        work->state = WORK_STARTED;
+        agent_ends_noted(&agent->incarnation, 0, now);
+        return;
     case REFUSED_OLD:
         work->state = WORK_CHECK;
         agent->incarnation.prove_ms = now + PROVE_MS;
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -10,6 +10,7 @@
     CALLS_MAX = WORK_CALLS_MAX + OTHER_CALLS_MAX,
     CALL_WAIT_MS = 300,   /* timeout of a start, a stop, and a poll that does not wait */
     POLL_MS = 1500,       /* a poll waits so long for an end */
+    POLL_GAPS = 3,        /* but not much longer than so many times the usual time between ends */
     POLL_DOUBT_MS = 100,  /* only so long for a while after a call timed out */
     TIMEOUT_MIN_MS = 100, /* and no timeout is shorter than this */
     DOUBT_CALLS_MS = 10000,
@@ -122,6 +123,7 @@
     int64_t silent_since_ms, retry_ms, retry_due_ms; /* silent_since_ms 0: it responds */
     int64_t answered_ms, took_ms; /* time of its newest response; recent duration of calls that wait for nothing */
     int64_t poll_done_ms, prove_ms, unanswered_ms; /* unanswered_ms: when a call last timed out; 0: never */
+    int64_t stir_ms, end_gap_ms;                   /* when a run last started or ended; mean time between ends */
     struct run_lists lists;                        /* as last reported; ended: by rising seq, all above seen */
     struct agent_beat beat;
 };
@@ -179,6 +181,10 @@
 int agent_in_doubt(const struct agent_incarnation *incarnation, int64_t now);
 /* The timeout of a call: normal_ms, in doubt at most three times the recent duration of calls, but TIMEOUT_MIN_MS. */
 int64_t agent_call_timeout(const struct agent_incarnation *incarnation, int64_t normal_ms, int64_t now);
+/* The longest time that a poll may wait for an end. */
+int64_t agent_poll_most(const struct agent_incarnation *incarnation, int64_t now);
+/* n runs have ended since the last time; 0: one has started. */
+void agent_ends_noted(struct agent_incarnation *incarnation, int64_t n, int64_t now);
 /* Counts how long the response to a call that waits for nothing took. */
 void agent_response_time_add(struct agent_incarnation *incarnation, int64_t took_ms);
 
