In time, the smaller job goes first

Cause: where room is short, least slack first spends it on what is wide, by estimates that are off by a factor of up to ten. Change: among jobs still in time the one whose waiting tasks request less goes first, then the one with less slack.

--- a/src/dispatch/plan_round.c
+++ b/src/dispatch/plan_round.c
@@ -112,6 +112,7 @@
     int64_t age_ms = wall_ms > since_ms ? wall_ms - since_ms : 0;
     int64_t risen = age_ms / (AGEING_AIMS * aim_ms);
     entry->since_ms = since_ms;
+    entry->waiting_cpu_milli = job->waiting[time * job->spec.n_steps + step] * job->spec.steps[step].cpu_milli;
     entry->urgency = (int32_t)(priority > risen ? priority - risen : 0);
     entry->spare_ms = aim_ms - age_ms - 2 * job->spec.steps[step].estimate_ms;
     entry->slack_ms = aim_ms - age_ms - rest_ms * REST_PCT / 100;
@@ -126,6 +127,9 @@
         return left->urgency < right->urgency ? -1 : 1;
     if (left->lateness != right->lateness)
         return left->lateness < right->lateness ? -1 : 1;
+    /* the smaller first: as much room serves more jobs */
+    if (left->lateness == IN_TIME && left->waiting_cpu_milli != right->waiting_cpu_milli)
+        return left->waiting_cpu_milli < right->waiting_cpu_milli ? -1 : 1;
     if (left->lateness == IN_TIME && left->slack_ms != right->slack_ms)
         return left->slack_ms < right->slack_ms ? -1 : 1;
     if (left->since_ms != right->since_ms)
--- a/src/dispatch/plan_round.h
+++ b/src/dispatch/plan_round.h
@@ -10,12 +10,13 @@
 struct plan_entry {
     struct job *job;
     int64_t time, step;
-    int64_t since_ms; /* ready since, time of day; the older goes first */
-    int32_t urgency;  /* the queue's priority less its ageing; 0 goes first */
-    int64_t spare_ms; /* time left until it must begin to be in time, by its estimates */
-    int64_t slack_ms; /* time left to its target beyond the rest of its chain of steps */
-    int32_t lateness; /* enum lateness */
-    int32_t service;  /* index into services, -1: it has no executors */
+    int64_t since_ms;          /* ready since, time of day; the older goes first */
+    int32_t urgency;           /* the queue's priority less its ageing; 0 goes first */
+    int64_t spare_ms;          /* time left until it must begin to be in time, by its estimates */
+    int64_t slack_ms;          /* time left to its target beyond the rest of its chain of steps */
+    int64_t waiting_cpu_milli; /* what its waiting tasks request together */
+    int32_t lateness;          /* enum lateness */
+    int32_t service;           /* index into services, -1: it has no executors */
 };
 
 /* Totals over a service's open executors. Invariant: max_cpu, max_memory and max_gpus are upper bounds of the free
