--- a/tests/unit/agent_test.cc
+++ b/tests/unit/agent_test.cc
@@ -286,6 +286,33 @@
     EXPECT_TRUE(rig.is_active(1, 1));
 }
 
+// How long after a run's end the leader hears of it where the poll meant to show it is lost, when so many runs have
+// ended before, one each gap_ms.
+static int64_t told_after_lost_poll_ms(int64_t runs, int64_t gap_ms)
+{
+    Rig rig;
+    rig.settled();
+    for (int64_t task = 1; task <= runs; task++) {
+        rig.start(task, 1);
+        rig.run(gap_ms);
+        rig.ex.end({1, task}, END_DONE);
+        rig.run(100);
+        EXPECT_EQ(rig.how_ended(task), END_DONE);
+        rig.seen = rig.ex.seq;
+    }
+    int64_t last = runs + 1, lost = 0, ms = 0;
+    rig.fate = [&](const Call &c) { return c.what == "look" && !lost++ ? LOST : CARRIED; };
+    rig.start(last, 1);
+    rig.run(400);
+    EXPECT_GT(lost, 0);
+    rig.ex.end({1, last}, END_DONE);
+    for (; rig.how_ended(last) != END_DONE && ms < 5000; ms += 10)
+        rig.run(10);
+    return ms;
+}
+
+TEST(Agent, a_lost_poll_is_missed_soon_where_runs_end_often) { EXPECT_LE(told_after_lost_poll_ms(12, 100), 500); }
+
 TEST(Agent, calls_at_once_are_bounded)
 {
     Rig rig;
--- a/tests/unit/leader_steps_test.cc
+++ b/tests/unit/leader_steps_test.cc
@@ -166,3 +166,16 @@
     EXPECT_LT(slow_pct(one), 125);
     EXPECT_LT(slow_pct(other), 125);
 }
+
+// What an urgent queue gets says little of what it needs where patient work holds the room.
+TEST_F(Steps, TheRoomKeptFreeFollowsWhatIsAskedFor)
+{
+    t.executor(1000);
+    t.add(1, PATIENT, {Rig::step(1, 900, 60000)});
+    t.add(2, URGENT, {Rig::step(4, 500)});
+    t.run(5000);
+    int64_t queue = record_queue(&t.r, "urgent");
+    EXPECT_EQ(queue_use(t.d, queue)->cpu_milli, 0) << "it got nothing yet";
+    EXPECT_GT(queue_use(t.d, queue)->mean_micro, 1000 * 1000);
+    EXPECT_LE(queue_use(t.d, queue)->mean_micro, 2000 * 1000);
+}
--- a/tests/unit/plan_order_test.cc
+++ b/tests/unit/plan_order_test.cc
@@ -52,6 +52,35 @@
     EXPECT_EQ(order(2), (std::vector<const job *>{young, old}));
 }
 
+TEST_F(PlanOrder, OfWhatIsInTimeTheSmallerGoesFirst)
+{
+    t.candidate_add(1000);
+    int64_t q = t.queue(0, 9000);
+    job *wide = t.add(q, {Site::step(3, 1000, 100)}, WALL - 3000);
+    job *small = t.add(q, {Site::step(1, 1000, 5000)}, WALL);
+    job *late = t.add(q, {Site::step(1, 500, 100)}, WALL - 9200);
+    EXPECT_EQ(order(1), (std::vector<const job *>{small}));
+    t.round();
+    EXPECT_EQ(t.placed_of(wide), 1);
+    EXPECT_EQ(t.placed_of(late), 0) << "what is late waits for what is in time, however small";
+}
+
+TEST_F(PlanOrder, WhatIsBlockedIsCountedByQueue)
+{
+    t.candidate_add(1000);
+    int64_t urgent = t.queue(0), patient = t.queue(2), idle = t.queue(1);
+    t.add(urgent, {Site::step(3, 800)});
+    t.add(patient, {Site::step(2, 700)});
+    t.round();
+    EXPECT_EQ(t.p.blocked, 4);
+    EXPECT_EQ(t.p.blocked_cpu_milli[urgent], 1600);
+    EXPECT_EQ(t.p.blocked_cpu_milli[patient], 1400);
+    EXPECT_EQ(t.p.blocked_cpu_milli[idle], 0);
+    t.candidate_add(10000);
+    t.round();
+    EXPECT_EQ(t.p.blocked_cpu_milli[urgent] + t.p.blocked_cpu_milli[patient], 0) << "counted anew each round";
+}
+
 TEST_F(PlanOrder, TheRestOfTheChainCountsForSlack)
 {
     t.candidate_add(1000);
