--- a/review/src/stand.hpp
+++ b/review/src/stand.hpp
@@ -28,6 +28,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -226,6 +227,10 @@
 
 enum { P_CONTROL = 0, P_FRONT = 1, P_READY = 2, P_APP = 3, P_INNER = 4 };
 
+inline bool ends_with_us = true; // false where a thread other than the main one starts processes
+
+inline int remove_entry(const char *path, const struct stat *, int, FTW *) { return ::remove(path); }
+
 struct Bounds {
     int hold_max = 6000, stop = 400, gang = 3000, grace = 6, drain = 2000;
     double checkpoint = 2;
@@ -237,6 +242,7 @@
     bool side = false, disk = false;
     std::vector<string> seeds;
     pid_t pid = 0;
+    bool disk_refuses = false; // at the next start: its writes to files fail, until disk_recovers()
 
     string settings(bool initial) const
     {
@@ -287,12 +293,21 @@
             mkdir((work_folder + "/" + name + ".data").c_str(), 0750);
         string variable = "SAGEHITCH_CONFIG=" + path;
         pid_t parent = getpid();
+        int out[2] = {-1, -1};
+        if (disk_refuses && pipe2(out, O_CLOEXEC)) // its log must not be refused, too
+            exit(2);
         pid = fork();
         if (!pid) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            if (ends_with_us) // the signal comes when the thread that started it ends
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (getppid() != parent)
                 _exit(127);
-            int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
+            int fd = disk_refuses ? out[1] : open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0640);
+            if (disk_refuses) {
+                rlimit none = {0, RLIM_INFINITY};
+                ::signal(SIGXFSZ, SIG_IGN); // write() then fails with EFBIG
+                setrlimit(RLIMIT_FSIZE, &none);
+            }
             dup2(fd, 1);
             dup2(fd, 2);
             char path_variable[] = "PATH=/usr/bin:/bin", lang[] = "LANG=C", home[] = "HOME=/tmp";
@@ -300,7 +315,34 @@
             execle(program.c_str(), "sagehitch", "platform", side ? "agent" : "controller", nullptr, environment);
             _exit(127);
         }
-        record("platform: start %s (%s) pid %d", name.c_str(), ip.c_str(), (int)pid);
+        if (disk_refuses) {
+            close(out[1]);
+            std::thread([log, from = out[0]] {
+                char chunk[4096];
+                FILE *to = fopen(log.c_str(), "a");
+                for (ssize_t n; (n = read(from, chunk, sizeof chunk)) > 0; fflush(to))
+                    fwrite(chunk, 1, (size_t)n, to);
+                fclose(to);
+                close(from);
+            }).detach();
+        }
+        record("platform: start %s (%s) pid %d%s", name.c_str(), ip.c_str(), (int)pid,
+               disk_refuses ? ", its disk refuses writes" : "");
+    }
+
+    void disk_recovers()
+    {
+        rlimit any = {RLIM_INFINITY, RLIM_INFINITY};
+        disk_refuses = false;
+        if (prlimit(pid, RLIMIT_FSIZE, &any, nullptr))
+            exit(2);
+        record("platform: the disk of %s takes writes again", name.c_str());
+    }
+
+    void lose_disk() const
+    {
+        record("platform: %s loses its disk", name.c_str());
+        nftw((work_folder + "/" + name + ".data").c_str(), remove_entry, 16, FTW_DEPTH | FTW_PHYS);
     }
 
     void signal(int number) const
@@ -356,11 +398,25 @@
 inline std::mutex world_lock; // intervals, and all executors' states
 inline std::condition_variable world_changed;
 
+inline std::vector<string> violations; // under world_lock
+
+// A gang's run: its members by task, present on some executor. begun_ms: when all were, -1: not yet.
+struct Gang {
+    std::set<string> present;
+    int64_t begun_ms = -1;
+    string over; // how its first member ended
+};
+inline std::map<string, Gang> gangs; // by "JOB.K.STEP attempt"
+inline string gang_key(const string &task, int64_t attempt)
+{
+    return task.substr(0, task.rfind('.')) + " " + std::to_string(attempt);
+}
+
 struct Active {
     int64_t attempt, from, work_ms, stop_ms = -1;
     size_t interval;
     bool fail;
-    int64_t cpu;
+    int64_t cpu, gang; // gang: how many members it has, 0: it is none
 };
 struct Ended {
     int64_t seq;
@@ -374,6 +430,7 @@
     const Machine *side = nullptr;
     int64_t clock_offset = 0;
     int64_t cpu = 16000;
+    bool guards = true;
     std::map<string, Active> active;
     std::map<string, int64_t> settled; // task -> highest attempt that ended or was stopped here
     std::vector<Ended> finished;
@@ -395,6 +452,12 @@
     {
         Active run = active[task];
         active.erase(task);
+        if (run.gang) {
+            Gang &gang = gangs[gang_key(task, run.attempt)];
+            gang.present.erase(task);
+            if (gang.over.empty())
+                gang.over = how;
+        }
         settled[task] = std::max(settled[task], run.attempt);
         intervals[run.interval].to = now_ms();
         intervals[run.interval].how = how;
@@ -412,7 +475,15 @@
                 ends.push_back({task, "lapsed"});
             else if (run.stop_ms >= 0 && now_ms() >= run.stop_ms)
                 ends.push_back({task, "stopped"});
-            else if (now_ms() - run.from >= run.work_ms)
+            else if (run.gang) {
+                Gang &gang = gangs[gang_key(task, run.attempt)];
+                if (!gang.over.empty())
+                    ends.push_back({task, gang.over == "done" ? "done" : "broken"});
+                else if (gang.begun_ms >= 0 && now_ms() - gang.begun_ms >= run.work_ms)
+                    ends.push_back({task, run.fail ? "failed" : "done"});
+                else if (gang.begun_ms < 0 && now_ms() - run.from >= bounds.gang)
+                    ends.push_back({task, "alone"});
+            } else if (now_ms() - run.from >= run.work_ms)
                 ends.push_back({task, run.fail ? "failed" : "done"});
         }
         for (auto &[task, how] : ends)
@@ -458,14 +529,23 @@
         for (auto &[name, run] : active)
             used += run.cpu;
         int64_t cpu_needed = number_in(own, "cpu=", 1000);
-        if (used + cpu_needed > cpu || there != active.end()) {
+        if (!guards && used + cpu_needed > cpu)
+            violations.push_back(text("LIMIT: %s starts %s with %lld of %lld in use", id.c_str(), task.c_str(),
+                                      (long long)used, (long long)cpu));
+        if ((guards && used + cpu_needed > cpu) || there != active.end()) {
             take_hold(request);
             answer = clock_body("room");
             return 409;
         }
         take_hold(request);
         active[task] = {attempt, now_ms(), number_in(own, "ms=", 1000), -1, intervals.size(),
-                        number_in(own, "fail=", 0) != 0, cpu_needed};
+                        number_in(own, "fail=", 0) != 0, cpu_needed, number_in(own, "gang=", 0)};
+        if (active[task].gang) {
+            Gang &gang = gangs[gang_key(task, attempt)];
+            gang.present.insert(task);
+            if ((int64_t)gang.present.size() == active[task].gang)
+                gang.begun_ms = now_ms();
+        }
         intervals.push_back({id, task, attempt, now_ms(), -1, "", -1, 0, own, checkpoint ? checkpoint : ""});
         record("executor %s: run %s attempt %lld begins", id.c_str(), task.c_str(), (long long)attempt);
         answer = clock_body();
@@ -669,6 +749,8 @@
             for (auto &[task, run] : active) {
                 intervals[run.interval].to = now_ms();
                 intervals[run.interval].how = "died";
+                if (run.gang && gangs[gang_key(task, run.attempt)].over.empty())
+                    gangs[gang_key(task, run.attempt)].over = "died";
             }
             active.clear();
             for (int fd : connections)
@@ -720,8 +802,6 @@
 
 // --- a small deployment ------------------------------------------------------------------
 
-inline int remove_entry(const char *path, const struct stat *, int, FTW *) { return ::remove(path); }
-
 inline bool ports_free(const std::vector<string> &ips, int base)
 {
     for (const string &ip : ips)
@@ -767,17 +847,17 @@
         }
     }
 
-    void start()
+    void start(bool guards = true)
     {
         for (auto &machine : controllers)
             machine->start(true);
         for (auto &machine : agents)
             machine->start(true);
         for (size_t i = 0; i < agents.size(); i++)
-            executor_begin(i);
+            executor_begin(i, guards);
     }
 
-    Executor &executor_begin(size_t agent)
+    Executor &executor_begin(size_t agent, bool guards = true)
     {
         static int number;
         auto executor = std::make_unique<Executor>();
@@ -785,7 +865,9 @@
         executor->side = agents[agent].get();
         executor->rack = text("r1-%zu", agent / 3 + 1);
         executor->clock_offset = 100000 + rand() % 400000;
+        executor->guards = guards;
         executor->begin();
+        std::lock_guard<std::mutex> lock(world_lock);
         executors.push_back(std::move(executor));
         return *executors.back();
     }
@@ -801,21 +883,21 @@
                     name, prefix, target, priority, attempts, extension);
     }
 
-    static string configuration(int revision)
+    static string configuration(int revision, bool guards = true)
     {
         return text("{\"revision\":%d,\"routes\":[%s,%s,%s],\"services\":[{\"name\":\"bokning\",\"healthCheckPath\":"
-                    "\"/healthcheck\",\"maxConnections\":64,\"protocol\":\"h1\",\"tlsEnabled\":false,\"constraints\":true}],"
+                    "\"/healthcheck\",\"maxConnections\":64,\"protocol\":\"h1\",\"tlsEnabled\":false,\"constraints\":%s}],"
                     "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
                     "\"idleTimeoutMs\":15000}}",
                     revision, route("r-size", "/lohu930/", 0, 4, 1.5, 250).c_str(),
                     route("r-swap", "/pule252/", 1, 3, 2.2, 1000).c_str(),
-                    route("r-stock", "/pufi791/", 2, 3, 3.2, 3000).c_str());
+                    route("r-stock", "/pufi791/", 2, 3, 3.2, 3000).c_str(), guards ? "true" : "false");
     }
 
     // Sends the first configuration until it is taken; exits with 2 if it never is.
-    void configure()
+    void configure(bool guards = true)
     {
-        string body = configuration(3);
+        string body = configuration(3, guards);
         for (size_t i = 0; now_ms() < 20000; i++) {
             int status = call(control(i), "PUT", "/sagehitch/configuration", "If-Match: 0\r\n", body, 1000);
             if (status == 200) {
