A reservation owns the whole id of its executor: long ids no longer lose capacity

Cause: struct reservation held the executor's id in a buffer of 72 bytes, where placement_propose() cut it off. dispatch_committed() and reservations_add() compare it with the whole id, so that reserved capacity was not released at the commit, and was forgotten when reservations were counted again after another incarnation had been reported (an executor could be overfilled).

Ruled out: an id cut off on the way to the executor (its tasks started and ended until the capacity was used up); reports too large for a datagram (the same). The limit lies between 71 and 72 characters exactly, which is the size of that buffer.

Change: the reservation owns a copy of the id, freed with its batch.

--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -22,6 +22,8 @@
         return;
     schema_free(&record_batch_schema, &batch->ops);
     free(batch->waiters);
+    for (int64_t i = 0; i < batch->n_reservations; i++)
+        free(batch->reservations[i].incarnation);
     free(batch->reservations);
     free(batch->ends);
     free(batch);
--- a/src/dispatch/leader_place.c
+++ b/src/dispatch/leader_place.c
@@ -1,6 +1,5 @@
 /* A placement round: builds the candidates from the executor views, plans, proposes ops for the placements, and
  * preempts runs if more urgent work is blocked. */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -115,8 +114,8 @@
                                         .agent = candidate->agent,
                                         .cpu_milli = spec->cpu_milli,
                                         .memory_mb = spec->memory_mb,
-                                        .gpus = spec->gpus};
-    snprintf(reservation->incarnation, sizeof reservation->incarnation, "%s", candidate->incarnation);
+                                        .gpus = spec->gpus,
+                                        .incarnation = must_dup(candidate->incarnation)};
     struct executor_view *view = executor_view_of(dispatch, candidate->agent);
     view->cpu_reserved += spec->cpu_milli;
     view->memory_reserved += spec->memory_mb;
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -89,11 +89,11 @@
 struct waiter {
     int64_t ticket, kind, op;
 };
-/* Capacity for a placement in a batch that is not committed yet, on the agent's incarnation of that name. */
+/* Capacity for a placement in a batch that is not committed yet, on the agent's incarnation of that name (owned). */
 struct reservation {
     struct job *job;
     int64_t row_index, agent, cpu_milli, memory_mb, gpus;
-    char incarnation[72];
+    char *incarnation;
 };
 /* Ops to be committed together, and the state that depends on their outcome. ends: the runs that its OP_END ops end. */
 struct batch {
