Simulated executors have ids of every length, with long common prefixes

The simulator named all executors in at most 20 characters, so that no scenario could see an id that is cut off. Half of the incarnations now have an id of any length up to EXECUTOR_ID_MAX (1,024 bytes, new in executor_codec.h), and differ from each other only in its end. Traces keep the short names.

--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -142,7 +142,8 @@
     struct host *host;
     int64_t index, up, generation, booted_us, clock_offset_ms, clock_slow_ppm, lease_until_ms, fence_epoch, seq,
         last_on_timer_us, removed;
-    char incarnation[32];
+    char name[32];     /* in traces and violations */
+    char *incarnation; /* its id in messages, of any length up to EXECUTOR_ID_MAX */
     const char *service, *rack, *label;
     int64_t checks_capacity, cpu_milli, memory_mb, gpus;
     struct standin_run *runs;
--- a/sim/cluster_executor.c
+++ b/sim/cluster_executor.c
@@ -3,9 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent/executor_codec.h"
 #include "dispatch/messages.h"
 #include "sim/cluster.h"
 
+enum { ID_USUAL_MAX = 255 }; /* most long ids have up to this many bytes more than the name */
+
 struct standin *standin_new(struct host *host, int64_t index)
 {
     static const char *const labels[] = {"plain", "plain", "large"};
@@ -49,9 +52,28 @@
 void standin_free(struct standin *standin)
 {
     free_state(standin);
+    free(standin->incarnation);
     free(standin);
 }
 
+/* The id of the current incarnation: its name, for half of the incarnations behind a prefix that makes the id any
+ * length up to EXECUTOR_ID_MAX; ids differ only behind that prefix. Drawn from the state of the random numbers without
+ * advancing it, so that a seed gives the same run whatever the lengths are. */
+static char *incarnation_id(const struct standin *standin)
+{
+    static const char segment[] = "zone.machine.service.";
+    uint64_t draw = hash_mix(standin->host->cluster->state, hash_text(standin->name));
+    int64_t name_len = (int64_t)strlen(standin->name), len = name_len;
+    if (draw % 2)
+        len = name_len + (int64_t)(draw / 2 % (uint64_t)(draw % 16 == 1 ? EXECUTOR_ID_MAX : ID_USUAL_MAX) + 1);
+    len = len < EXECUTOR_ID_MAX ? len : EXECUTOR_ID_MAX;
+    struct bytes id = {0};
+    while (id.len < len - name_len)
+        bytes_add(&id, segment + id.len % (int64_t)(sizeof segment - 1), 1);
+    bytes_add(&id, standin->name, name_len + 1);
+    return (char *)id.at;
+}
+
 void standin_boot(struct standin *standin)
 {
     struct cluster *cluster = standin->host->cluster;
@@ -68,10 +90,12 @@
     standin->drain_ack_us = -1;
     standin->hang_until_us = standin->fail_until_us = standin->sick_until_us = standin->late_until_us = 0;
     standin->next_heartbeat_us = cluster->now_us + cluster_pick(cluster, 300000);
-    snprintf(standin->incarnation, sizeof standin->incarnation, "x%lld-%lld", (long long)standin->index,
+    snprintf(standin->name, sizeof standin->name, "x%lld-%lld", (long long)standin->index,
              (long long)standin->generation);
+    free(standin->incarnation);
+    standin->incarnation = incarnation_id(standin);
     if (standin->generation > 1)
-        cluster_trace(cluster, 0, "executor %s starts", standin->incarnation);
+        cluster_trace(cluster, 0, "executor %s starts", standin->name);
     struct cluster_event *timer = must_alloc(sizeof *timer);
     timer->kind = CLUSTER_EVENT_STANDIN;
     timer->to = standin->host;
@@ -109,7 +133,7 @@
 {
     if (!standin->up)
         return;
-    cluster_trace(standin->host->cluster, 0, "executor %s crashes", standin->incarnation);
+    cluster_trace(standin->host->cluster, 0, "executor %s crashes", standin->name);
     standin->host->cluster->last_fault_us = standin->host->cluster->now_us;
     standin_shut_down(standin, back_ms);
 }
@@ -118,7 +142,7 @@
 {
     if (!standin->up || standin->draining)
         return;
-    cluster_trace(standin->host->cluster, 0, "executor %s drains", standin->incarnation);
+    cluster_trace(standin->host->cluster, 0, "executor %s drains", standin->name);
     standin->draining = 1;
     standin->return_after_ms = back_ms;
     standin->leaves_us = standin->host->cluster->now_us + 10000000; /* even without an acknowledgement */
@@ -199,8 +223,7 @@
     if (!job || !tracked_task(job, task) || attempt < 1) {
         cluster_violation(cluster, job_id,
                           "UNASKED: %s is ordered to start what no caller submitted: job %llx task %llx attempt %lld",
-                          standin->incarnation, (unsigned long long)job_id, (unsigned long long)task,
-                          (long long)attempt);
+                          standin->name, (unsigned long long)job_id, (unsigned long long)task, (long long)attempt);
         return 400;
     }
     const struct standin_start start = {.job = job,
--- a/sim/cluster_executor_runs.c
+++ b/sim/cluster_executor_runs.c
@@ -167,7 +167,7 @@
 void standin_expire_lease(struct standin *standin)
 {
     if (standin->n_runs)
-        cluster_trace(standin->host->cluster, 0, "the lease of %s expires with %lld runs", standin->incarnation,
+        cluster_trace(standin->host->cluster, 0, "the lease of %s expires with %lld runs", standin->name,
                       (long long)standin->n_runs);
     cluster_oracle_on_lease_expired(standin);
     while (standin->n_runs)
--- a/sim/cluster_heartbeats.c
+++ b/sim/cluster_heartbeats.c
@@ -80,7 +80,7 @@
 {
     standin->drain_ack_us = cluster->now_us;
     standin->leaves_us = cluster->now_us + (DRAIN_MS + 500 + cluster_pick(cluster, 2000)) * 1000;
-    cluster_trace(cluster, 0, "the draining of %s is acknowledged", standin->incarnation);
+    cluster_trace(cluster, 0, "the draining of %s is acknowledged", standin->name);
 }
 
 static void on_heartbeat_response(struct cluster *cluster, void *arg, int64_t tag, int status, const char *body)
@@ -150,6 +150,6 @@
                                                             .on_response = ignore_response,
                                                             .arg = standin});
     free(body);
-    cluster_trace(cluster, 0, "executor %s leaves", standin->incarnation);
+    cluster_trace(cluster, 0, "executor %s leaves", standin->name);
     standin_shut_down(standin, standin->return_after_ms);
 }
--- a/sim/cluster_net.c
+++ b/sim/cluster_net.c
@@ -89,7 +89,7 @@
 
 const char *header_find(const char *lines, const char *name)
 {
-    static char value[200];
+    static char value[EXECUTOR_ID_MAX + 1];
     size_t len = strlen(name);
     for (const char *at = lines; at && *at; at = strchr(at, '\n') ? strchr(at, '\n') + 1 : NULL)
         if (!strncasecmp(at, name, len) && at[len] == ':') {
--- a/sim/cluster_oracle.c
+++ b/sim/cluster_oracle.c
@@ -123,8 +123,8 @@
             if (&other->runs[i] != run && other->runs[i].job == run->job && other->runs[i].task == run->task)
                 cluster_violation(cluster, run->job->id,
                                   "TWICE: task %llx of job %llx runs on %s (attempt %lld) and on %s (%lld)",
-                                  (ull)run->task, (ull)run->job->id, standin->incarnation, (long long)run->attempt,
-                                  other->incarnation, (long long)other->runs[i].attempt);
+                                  (ull)run->task, (ull)run->job->id, standin->name, (long long)run->attempt,
+                                  other->name, (long long)other->runs[i].attempt);
 }
 
 static void check_placement(struct standin *standin, const struct standin_run *run)
@@ -134,20 +134,20 @@
     int64_t cpu_milli, memory_mb, gpus, same = 0;
     standin_usage(standin, &cpu_milli, &memory_mb, &gpus);
     if (cpu_milli > standin->cpu_milli || memory_mb > standin->memory_mb || gpus > standin->gpus)
-        cluster_violation(cluster, run->job->id, "LIMIT: %s holds %lld of %lld cpu, %lld of %lld MB",
-                          standin->incarnation, (long long)cpu_milli, (long long)standin->cpu_milli,
-                          (long long)memory_mb, (long long)standin->memory_mb);
+        cluster_violation(cluster, run->job->id, "LIMIT: %s holds %lld of %lld cpu, %lld of %lld MB", standin->name,
+                          (long long)cpu_milli, (long long)standin->cpu_milli, (long long)memory_mb,
+                          (long long)standin->memory_mb);
     if (strcmp(standin->service, run->job->service))
         cluster_violation(cluster, run->job->id, "ROUTE: job %llx of service %s starts on %s", (ull)run->job->id,
-                          run->job->service, standin->incarnation);
+                          run->job->service, standin->name);
     if (step->label && strcmp(step->label, standin->label) && strcmp(step->label, standin->rack))
-        cluster_violation(cluster, run->job->id, "ROUTE: %s lacks label %s", standin->incarnation, step->label);
+        cluster_violation(cluster, run->job->id, "ROUTE: %s lacks label %s", standin->name, step->label);
     for (int64_t i = 0; i < standin->n_runs; i++)
         same += standin->runs[i].job == run->job && standin->runs[i].step == run->step &&
                 standin->runs[i].repetition == run->repetition;
     if (step->per_executor && same > step->per_executor)
         cluster_violation(cluster, run->job->id, "ROUTE: %lld tasks of one step on %s, %lld allowed", (long long)same,
-                          standin->incarnation, (long long)step->per_executor);
+                          standin->name, (long long)step->per_executor);
 }
 
 static void check_order(struct standin *standin, const struct standin_run *run)
@@ -221,7 +221,7 @@
                           (ull)job->id);
     if (reachable && standin->drain_ack_us >= 0 && cluster->now_us - standin->drain_ack_us > DRAIN_MS * 1000LL)
         cluster_violation(cluster, job->id, "DRAIN: %s starts a task %lld ms after its draining was acknowledged",
-                          standin->incarnation, (long long)(cluster->now_us - standin->drain_ack_us) / 1000);
+                          standin->name, (long long)(cluster->now_us - standin->drain_ack_us) / 1000);
 }
 
 void cluster_oracle_on_start(struct standin *standin, struct standin_run *run, const char *text, const char *checkpoint,
@@ -231,7 +231,7 @@
     struct tracked_task *tracked = tracked_task(run->job, run->task);
     cluster->n_starts++;
     run->job->starts++;
-    cluster_trace(cluster, run->job->id, "%s starts %llx attempt %lld %s%s", standin->incarnation, (ull)run->task,
+    cluster_trace(cluster, run->job->id, "%s starts %llx attempt %lld %s%s", standin->name, (ull)run->task,
                   (long long)run->attempt, checkpoint, late ? " (carried out late)" : "");
     *array_add(tracked->starts, tracked->n_starts) =
         (struct seen_start){.at_us = cluster->now_us, .attempt = run->attempt, .executor = standin->index};
@@ -249,7 +249,7 @@
     struct cluster *cluster = standin->host->cluster;
     struct tracked_task *tracked = tracked_task(run->job, run->task);
     cluster->n_ends[how]++;
-    cluster_trace(cluster, run->job->id, "%s ends %llx attempt %lld as %s", standin->incarnation, (ull)run->task,
+    cluster_trace(cluster, run->job->id, "%s ends %llx attempt %lld as %s", standin->name, (ull)run->task,
                   (long long)run->attempt, standin_end_name(how));
     *array_add(tracked->ends, tracked->n_ends) = (struct seen_end){.at_us = cluster->now_us,
                                                                    .attempt = run->attempt,
@@ -259,7 +259,7 @@
                                                                    .how = how};
     if (how == RUN_GANG_TIMEOUT && cluster->fault_free && run->job->cancel_us == 0)
         cluster_violation(cluster, run->job->id, "GANG: %s ends a task because its gang is not complete",
-                          standin->incarnation);
+                          standin->name);
 }
 
 static struct seen_end *find_end(const struct standin *standin, const struct tracked_task *tracked, int64_t seq)
@@ -396,7 +396,7 @@
                 cluster->now_us - standin->faulty_until_us > CONTACT_MS * 1000 + HOLD_MAX_MS * 1000)
                 cluster_violation(cluster, job->id,
                                   "UNASKED: task %llx of job %llx still runs on %s long after its cancellation",
-                                  (ull)standin->runs[i].task, (ull)job->id, standin->incarnation);
+                                  (ull)standin->runs[i].task, (ull)job->id, standin->name);
 }
 
 void cluster_oracle_on_cancel_acknowledged(struct cluster *cluster, struct tracked_job *job)
--- a/src/agent/executor_codec.h
+++ b/src/agent/executor_codec.h
@@ -4,6 +4,9 @@
 #define SAGEHITCH_EXECUTOR_CODEC_H
 #include "dispatch/messages.h"
 
+/* Longest id of an incarnation that the API accepts from an executor, in bytes. */
+enum { EXECUTOR_ID_MAX = 1024 };
+
 /* A call to an executor; owns its strings. */
 struct executor_call {
     char *method, *path, *header, *body; /* header: one extra line "Name: value", or NULL */
