--- a/tests/platform/api_test.cc
+++ b/tests/platform/api_test.cc
@@ -316,6 +316,36 @@
     EXPECT_STREQ(left.heartbeat().state.incarnation, "i-19ab");
 }
 
+// Guards against executors that are never known because their id is long, or written with escapes in the path.
+TEST(PlatformApi, ExecutorIdsOfEveryLengthAndEncoding)
+{
+    const std::string path = "/sagehitch/executors/";
+    for (int len : {1, 71, 72, 200, 201, 253, (int)EXECUTOR_ID_MAX}) {
+        std::string id((size_t)len, 'i');
+        for (const char *method : {"PUT", "DELETE"}) {
+            ParsedRequest heartbeat({ENTRY_OPERATORS, method, path + id, heartbeat_body, {}});
+            ASSERT_EQ(heartbeat.error, 0) << method << " " << len;
+            EXPECT_EQ(heartbeat.heartbeat().state.incarnation, id);
+        }
+    }
+    const std::pair<std::string, std::string> encoded[] = {{"i%2d19ab", "i-19ab"},
+                                                           {"%69-19ab", "i-19ab"},
+                                                           {"hall%2Fside%3A1", "hall/side:1"},
+                                                           {"a%25b", "a%b"},
+                                                           {"a%3Fb", "a?b"}};
+    for (const auto &[segment, id] : encoded) {
+        ParsedRequest heartbeat({ENTRY_OPERATORS, "DELETE", path + segment, "", {}});
+        ASSERT_EQ(heartbeat.error, 0) << segment;
+        EXPECT_EQ(heartbeat.heartbeat().state.incarnation, id);
+    }
+    std::string all_encoded;
+    for (int i = 0; i < EXECUTOR_ID_MAX; i++)
+        all_encoded += "%69";
+    ParsedRequest longest({ENTRY_OPERATORS, "DELETE", path + all_encoded, "", {}});
+    ASSERT_EQ(longest.error, 0) << "the limit counts what is decoded";
+    EXPECT_EQ(longest.heartbeat().state.incarnation, std::string(EXECUTOR_ID_MAX, 'i'));
+}
+
 TEST(PlatformApi, BadHeartbeats)
 {
     std::string body = heartbeat_body;
@@ -329,6 +359,11 @@
     expect_refused({ENTRY_OPERATORS, "PUT", "/sagehitch/executors/", body, {}}, ERROR_NOT_FOUND, "path");
     expect_refused({ENTRY_OPERATORS, "PUT", "/sagehitch/executors/a/b", body, {}}, ERROR_NOT_FOUND, "path");
     expect_refused({ENTRY_OPERATORS, "PUT", "/sagehitch/executors/a\r\nb", body, {}}, ERROR_BAD_FIELD, "path");
+    for (const char *escapes : {"a%", "a%2", "a%2x", "a%x2", "a%00", "a%0d%0ab", "a%20b", "a%7F", "a%e2%82%ac"})
+        expect_refused({ENTRY_OPERATORS, "PUT", std::string("/sagehitch/executors/") + escapes, body, {}},
+                       ERROR_BAD_FIELD, "path");
+    expect_refused({ENTRY_OPERATORS, "PUT", "/sagehitch/executors/" + std::string(EXECUTOR_ID_MAX + 1, 'i'), body, {}},
+                   ERROR_BAD_FIELD, "path");
     expect_refused({ENTRY_OPERATORS, "GET", "/sagehitch/executors/a", body, {}}, ERROR_BAD_METHOD, "method");
 }
 
