--- a/src/proc/http_client.c
+++ b/src/proc/http_client.c
@@ -8,16 +8,15 @@
 
 #include "proc/runtime.h"
 
-/* A call in flight, freed after done() was called. headers: owned, NULL: the common headers; repeatable: the request
- * has no side effects (GET); head_complete: the head of the response is complete. Invariant: once a byte of a call that
- * is not repeatable was sent on a connection, none is sent on another. */
+/* A call in flight, freed after done() was called. url and body are owned. headers: owned, NULL: the common headers;
+ * repeatable: the request has no side effects (GET); head_complete: the head of the response is complete. Invariant:
+ * once a byte of a call that is not repeatable was sent on a connection, none is sent on another. */
 struct transfer {
     struct runtime *runtime;
     CURL *easy;
     struct curl_slist *headers;
     struct bytes received;
-    char url[160];
-    char *body;
+    char *url, *body;
     int repeatable, head_complete;
     call_done *done;
     void *arg;
@@ -54,6 +53,7 @@
         transfer->done(transfer->arg, transfer->tag, code || !transfer->head_complete ? 0 : (int)status,
                        (char *)transfer->received.at, transfer->received.len);
         bytes_free(&transfer->received);
+        free(transfer->url);
         free(transfer->body);
         free(transfer);
     }
@@ -202,7 +202,7 @@
                                   .tag = call->tag,
                                   .body = must_dup(call->body ? call->body : "")};
     transfer->repeatable = !strcmp(call->method, "GET");
-    snprintf(transfer->url, sizeof transfer->url, "http://%s%.100s", addr_text(call->to), call->path);
+    transfer->url = must_printf("http://%s%s", addr_text(call->to), call->path);
     transfer->easy = runtime->n_idle ? runtime->idle[--runtime->n_idle] : curl_easy_init();
     if (call->header)
         transfer->headers = curl_slist_append(common_headers(), call->header);
--- a/tests/proc/http_client_test.cc
+++ b/tests/proc/http_client_test.cc
@@ -208,3 +208,15 @@
     }
     EXPECT_EQ(client.runtime.n_calls, 0);
 }
+
+// Guards against a path that is cut off, which would be another request.
+TEST(HttpClient, a_path_of_any_length_is_sent_whole)
+{
+    ClientRig client;
+    FaultyServer server;
+    for (size_t len : {(size_t)1, (size_t)99, (size_t)100, (size_t)101, (size_t)300, (size_t)2000}) {
+        std::string path = "/" + std::string(len - 1, 'p');
+        EXPECT_EQ(client.call_and_wait(server, "GET", path, "").status, 200) << len;
+        EXPECT_EQ(server.arrivals[path], 1) << len;
+    }
+}
