An executor that announced its end has ended once its leases have, not once it is silent

TWICE has no exception for leavers, an executor may serve on for seconds after DELETE, and a call left without an answer may be carried out later.

Cause: step_leaving_executor() took a leaver for gone once a call sent after its announcement had had no response for 500 ms, whatever its leases; the leader ends all runs there on that report.

Ruled out: the lapse by leases in the same function and at the leader (they wait for the lease).

Change: the alternative of silence is gone, with leaving_silent_ms. Simulated executors may leave by DELETE alone and serve on, responding, late, silent or slow (standin_leave_serving()).

--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -151,6 +151,7 @@
     struct standin_barred *barred;
     struct standin_poll *polls;
     int64_t n_runs, n_ended, n_barred, n_polls;
+    int64_t serves_until_us; /* it has announced its end and ends at this time; 0: it has not */
     int64_t draining, drain_ack_us, leaves_us, return_after_ms, next_heartbeat_us, heartbeat_seq, heartbeat_sent_us;
     int64_t slow_pct, hang_until_us, fail_until_us, sick_until_us, late_until_us,
         faulty_until_us; /* slow_pct: time per work; until when it hangs, fails all runs, refuses starts or
@@ -362,6 +363,8 @@
 /* cluster_heartbeats.c */
 void standin_heartbeat(struct standin *standin);
 void standin_leave(struct standin *standin);
+/* Announces the end of an executor that never said it drains; it serves on for serve_ms, then ends. */
+void standin_leave_serving(struct standin *standin, int64_t serve_ms, int64_t back_ms);
 /* cluster_executor.c, used by cluster_heartbeats.c */
 json_t *standin_report(const struct standin *standin);
 void standin_extend_lease(struct standin *standin, int64_t lease_until_ms); /* a lease is never shortened */
--- a/sim/cluster_executor.c
+++ b/sim/cluster_executor.c
@@ -85,7 +85,7 @@
     standin->clock_offset_ms = 1000 + cluster_pick(cluster, 1000000);
     standin->clock_slow_ppm = cluster_pick(cluster, 20001);
     standin->lease_until_ms = standin->fence_epoch = standin->seq = standin->draining = standin->leaves_us =
-        standin->heartbeat_seq = standin->return_after_ms = 0;
+        standin->serves_until_us = standin->heartbeat_seq = standin->return_after_ms = 0;
     standin->slow_pct = 100;
     standin->drain_ack_us = -1;
     standin->hang_until_us = standin->fail_until_us = standin->sick_until_us = standin->late_until_us = 0;
@@ -140,7 +140,7 @@
 
 void standin_drain(struct standin *standin, int64_t back_ms)
 {
-    if (!standin->up || standin->draining)
+    if (!standin->up || standin->draining || standin->serves_until_us)
         return;
     cluster_trace(standin->host->cluster, 0, "executor %s drains", standin->name);
     standin->draining = 1;
@@ -339,6 +339,11 @@
         standin_leave(standin);
         return;
     }
+    if (standin->serves_until_us && cluster->now_us >= standin->serves_until_us) {
+        cluster_trace(cluster, 0, "executor %s ends", standin->name);
+        standin_shut_down(standin, standin->return_after_ms);
+        return;
+    }
     if (cluster->now_us < standin->hang_until_us || cluster->now_us < standin->fail_until_us ||
         cluster->now_us < standin->sick_until_us || cluster->now_us < standin->late_until_us ||
         standin->slow_pct != 100)
--- a/sim/cluster_heartbeats.c
+++ b/sim/cluster_heartbeats.c
@@ -135,7 +135,7 @@
     (void)cluster, (void)arg, (void)tag, (void)status, (void)body;
 }
 
-void standin_leave(struct standin *standin)
+static void announce_end(struct standin *standin)
 {
     struct cluster *cluster = standin->host->cluster;
     char *body =
@@ -151,5 +151,19 @@
                                                             .arg = standin});
     free(body);
     cluster_trace(cluster, 0, "executor %s leaves", standin->name);
+}
+
+void standin_leave(struct standin *standin)
+{
+    announce_end(standin);
     standin_shut_down(standin, standin->return_after_ms);
 }
+
+void standin_leave_serving(struct standin *standin, int64_t serve_ms, int64_t back_ms)
+{
+    if (!standin->up || standin->draining || standin->serves_until_us)
+        return;
+    announce_end(standin);
+    standin->serves_until_us = standin->host->cluster->now_us + serve_ms * 1000;
+    standin->return_after_ms = back_ms;
+}
--- a/sim/cluster_progress.c
+++ b/sim/cluster_progress.c
@@ -43,7 +43,7 @@
     struct standin *standin;
     for (int64_t k = 0; (standin = cluster_standin(cluster, k)); k++) {
         int64_t cpu_milli, memory_mb, gpus;
-        if (!standin->up || standin->draining || strcmp(standin->service, job->service))
+        if (!standin->up || standin->draining || standin->serves_until_us || strcmp(standin->service, job->service))
             continue;
         standin_usage(standin, &cpu_milli, &memory_mb, &gpus);
         cpu += standin->cpu_milli;
--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -34,18 +34,17 @@
     free(agent);
 }
 
-/* Ends an incarnation that announced its shutdown once nothing runs there: it has been silent since, or its leases have
- * expired. */
+/* Ends an incarnation that announced its shutdown once every lease that was sent to it has expired. Calls without a
+ * response prove nothing, because it may serve on for seconds. Its uncommitted ends would be lost with it, so they are
+ * waited for as long as it responds. */
 static void step_leaving_executor(struct agent *agent, int64_t now)
 {
     const struct agent_incarnation *incarnation = &agent->incarnation;
     if (!incarnation->present || !incarnation->leaving)
         return;
-    int silent = incarnation->leaving_silent_ms && now - incarnation->leaving_silent_ms >= LEAVING_SILENT_MS;
-    /* its uncommitted ends would be lost with it, so they are waited for as long as it responds */
-    int expired = now - incarnation->leaving_ms >= LEAVING_SILENT_MS && !agent_lease_left_ms(agent, now) &&
-                  (incarnation->silent_since_ms || !incarnation->lists.n_ended);
-    if (silent || expired)
+    if (now - incarnation->leaving_ms < LEAVING_MIN_MS || agent_lease_left_ms(agent, now))
+        return;
+    if (incarnation->silent_since_ms || !incarnation->lists.n_ended)
         agent_incarnation_ended(agent, incarnation->state.incarnation);
 }
 
--- a/src/agent/agent_heartbeat_orders.c
+++ b/src/agent/agent_heartbeat_orders.c
@@ -62,7 +62,7 @@
     int current = delivered && incarnation->heartbeat.epoch == agent->epoch;
     if (delivered && incarnation->heartbeat.seen > incarnation->seen_delivered)
         incarnation->seen_delivered = incarnation->heartbeat.seen;
-    incarnation->silent_since_ms = incarnation->leaving_silent_ms = 0;
+    incarnation->silent_since_ms = 0;
     agent_clock_received(agent, report->clock_ms, now);
     count_deliveries(agent, current, now);
     agent_lists_update(agent, &report->lists);
@@ -178,9 +178,9 @@
         return;
     }
     int64_t last_ms = heartbeat->responded ? heartbeat->response_ms : heartbeat->received_ms;
-    if (incarnation->leaving && !incarnation->leaving_silent_ms &&
+    if (incarnation->leaving && !incarnation->silent_since_ms &&
         now - incarnation->leaving_ms >= HEARTBEAT_RESPONSE_MAX_MS && heartbeat->received_ms <= incarnation->leaving_ms)
-        incarnation->leaving_silent_ms = incarnation->leaving_ms;
+        incarnation->silent_since_ms = incarnation->leaving_ms;
     if (!incarnation->silent_since_ms && heartbeat->responded &&
         now - last_ms >= HEARTBEAT_DELAY_MS + HEARTBEAT_LATE_MS)
         incarnation->silent_since_ms = last_ms;
--- a/src/agent/agent_responses.c
+++ b/src/agent/agent_responses.c
@@ -156,8 +156,6 @@
     incarnation->last_timeout_ms = now;
     if (!incarnation->silent_since_ms && (failed || incarnation->response_ms < request->sent_ms))
         incarnation->silent_since_ms = request->sent_ms;
-    if (incarnation->leaving && !incarnation->leaving_silent_ms && request->sent_ms > incarnation->leaving_ms)
-        incarnation->leaving_silent_ms = request->sent_ms;
     if (request->kind == CALL_POLL) {
         incarnation->retry_ms = backoff_next(incarnation->retry_ms, RETRY_MIN_MS, RETRY_MAX_MS);
         incarnation->next_retry_ms = now + (incarnation->retry_ms == RETRY_MIN_MS ? 0 : incarnation->retry_ms);
@@ -177,7 +175,7 @@
                               struct executor_response *response, int64_t now)
 {
     struct agent_incarnation *incarnation = &agent->incarnation;
-    incarnation->silent_since_ms = incarnation->leaving_silent_ms = 0;
+    incarnation->silent_since_ms = 0;
     incarnation->response_ms = now;
     int64_t refusal = refusal_of(response);
     if (request->kind != CALL_POLL || !request_poll(request)->waits)
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -33,7 +33,7 @@
     START_LEASE_MIN_MS = 300,    /* no start is sent with less time left of the lease */
     REPORT_INTERVAL_MIN_MS = 10,
     LEADER_SILENT_MS = 1000, /* a leader that sent nothing for this long is suspected to be no longer the leader */
-    LEAVING_SILENT_MS = 500, /* an executor that announced its shutdown and is silent for this long has ended */
+    LEAVING_MIN_MS = 500,    /* an executor that announced its shutdown has ended at the earliest after this time */
     LEAVING_POLL_INTERVAL_MS = 200,
     INHERITED_CALLS_MS = 20000,  /* for this long, calls of a former process of this agent may be carried out */
     CLOSED_RETENTION_MS = 30000, /* acknowledged refusals are kept this long, so that late orders are recognized */
@@ -117,7 +117,6 @@
 struct agent_incarnation {
     int64_t present, ready;
     int64_t leaving, leaving_ms; /* whether it announced its shutdown, and when */
-    int64_t leaving_silent_ms;   /* send time of the first call after that which got no response; 0: none */
     int64_t heartbeat_seq;
     struct executor_state state;
     int64_t clock_ms, clock_read_ms, sent_expiry_ms, accepted_expiry_ms;
