The log tells what proves that an executor's incarnation has ended

Cause: E6003, "did not respond until all its leases expired", was logged by the agent of every end: of executors that left in order, and of those that were replaced while no lease had run out. The end of runs by expired leases, which it describes, was logged nowhere.

Change: the agent logs the new event 6010 with the proof (enum incarnation_proof); the leader logs 6003 with the number of runs that lapse because their executor, or its agent, was silent.

Measured: AgentLeaving.the_log_tells_what_proves_the_end_of_an_incarnation and LeaderTime.SilentExecutorWithExpiredLeaseLapsesAtOnce with its new check, which need the events; the 123 tests of agent and leader pass.

--- a/src/agent/agent.c
+++ b/src/agent/agent.c
@@ -45,7 +45,7 @@
     if (now - incarnation->leaving_ms < LEAVING_MIN_MS || agent_lease_left_ms(agent, now))
         return;
     if (incarnation->silent_since_ms || !incarnation->lists.n_ended)
-        agent_incarnation_ended(agent, incarnation->state.incarnation);
+        agent_incarnation_ended(agent, incarnation->state.incarnation, PROOF_LEASES_EXPIRED);
 }
 
 static int has_unsettled_runs(const struct agent *agent)
--- a/src/agent/agent_heartbeats.c
+++ b/src/agent/agent_heartbeats.c
@@ -33,7 +33,11 @@
         agent_work_drop(agent, &agent->work_items[agent->n_work_items - 1]);
 }
 
-void agent_incarnation_ended(struct agent *agent, const char *name)
+static const char *const proof_texts[] = {[PROOF_LEASES_EXPIRED] = "it left, and its leases have expired",
+                                          [PROOF_OTHER_RESPONDED] = "another incarnation responds in its place",
+                                          [PROOF_OTHER_HEARTBEAT] = "another incarnation sends heartbeats"};
+
+void agent_incarnation_ended(struct agent *agent, const char *name, enum incarnation_proof proof)
 {
     if (is_ended(agent, name))
         return;
@@ -42,7 +46,7 @@
     free(*slot);
     *slot = must_dup(incarnation);
     *array_add(agent->lost_incarnations, agent->n_lost_incarnations) = must_dup(incarnation);
-    world_note(agent->world, EV_EXECUTOR_GONE, "incarnation %s has ended", incarnation);
+    world_note(agent->world, EV_INCARNATION_ENDED, "why=\"%s\" executor=%s", proof_texts[proof], incarnation);
     if (agent->incarnation.present && !strcmp(agent->incarnation.state.incarnation, incarnation))
         agent_incarnation_clear(agent);
     if (agent->candidate.state.incarnation && !strcmp(agent->candidate.state.incarnation, incarnation))
@@ -64,7 +68,7 @@
     struct executor_heartbeat heartbeat = agent->candidate;
     agent->candidate = (struct executor_heartbeat){0};
     if (agent->incarnation.present)
-        agent_incarnation_ended(agent, agent->incarnation.state.incarnation);
+        agent_incarnation_ended(agent, agent->incarnation.state.incarnation, PROOF_OTHER_RESPONDED);
     incarnation_begin(agent, &heartbeat);
     schema_free(&executor_heartbeat_schema, &heartbeat);
     drop_candidate(agent);
@@ -114,7 +118,7 @@
         /* orders_by_heartbeat: no probe is needed, since only the running process of the executor sends heartbeats here
          */
         if (agent->incarnation.present)
-            agent_incarnation_ended(agent, agent->incarnation.state.incarnation);
+            agent_incarnation_ended(agent, agent->incarnation.state.incarnation, PROOF_OTHER_HEARTBEAT);
         incarnation_begin(agent, heartbeat);
         newest = 1;
     } else if (agent->candidate.state.incarnation && !strcmp(agent->candidate.state.incarnation, incarnation)) {
--- a/src/agent/agent_responses.c
+++ b/src/agent/agent_responses.c
@@ -240,7 +240,7 @@
     int valid = status && !agent->setup.executor_codec->read(&response, status, body, len);
     int current = agent->incarnation.present && !strcmp(agent->incarnation.state.incarnation, request.incarnation);
     if (valid && response.kind == EXECUTOR_OTHER_INCARNATION)
-        agent_incarnation_ended(agent, request.incarnation);
+        agent_incarnation_ended(agent, request.incarnation, PROOF_OTHER_RESPONDED);
     else if (request.kind == CALL_PROBE)
         probe_responded(agent, &request, valid ? &response : NULL, now);
     else if (current && valid)
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -81,6 +81,13 @@
     int64_t sent, delivered_count;
 };
 
+/* What proves that an incarnation has ended. */
+enum incarnation_proof {
+    PROOF_LEASES_EXPIRED, /* it announced its shutdown, and every lease that was sent to it has expired */
+    PROOF_OTHER_RESPONDED,
+    PROOF_OTHER_HEARTBEAT
+};
+
 /* CALL_FREE: none; CALL_PROBE: a poll of an incarnation that may have replaced the current one. */
 enum call_kind { CALL_FREE, CALL_START, CALL_STOP, CALL_POLL, CALL_PROBE };
 
@@ -231,7 +238,7 @@
 
 /* agent_heartbeats.c */
 /* Records that the incarnation of this name has certainly ended, and reports it to the leader. */
-void agent_incarnation_ended(struct agent *agent, const char *incarnation);
+void agent_incarnation_ended(struct agent *agent, const char *incarnation, enum incarnation_proof proof);
 /* Makes the candidate the current incarnation, since it has responded to a probe. */
 void agent_candidate_confirmed(struct agent *agent);
 /* Frees the state of the current incarnation. */
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -56,6 +56,7 @@
     X(6007, EV_HOME_LOST, LEVEL_INFO, "executor released")                                         \
     X(6008, EV_TASK_STILL, LEVEL_WARN, "task without progress stopped")                            \
     X(6009, EV_PREEMPTED, LEVEL_INFO, "task preempted to run elsewhere")                           \
+    X(6010, EV_INCARNATION_ENDED, LEVEL_INFO, "incarnation of an executor has ended")              \
     X(7001, EV_EXEC_START, LEVEL_DEBUG, "stand-in executor starts a task")                         \
     X(7002, EV_EXEC_STOP, LEVEL_DEBUG, "stand-in executor stops a task")
 
--- a/src/dispatch/leader_executor_views.c
+++ b/src/dispatch/leader_executor_views.c
@@ -181,7 +181,7 @@
                          !report->executor.lease_left_ms;
     int64_t silent_incarnation = leases_expired ? incarnation_find(dispatch, report->executor.incarnation) : -1;
     if (silent_incarnation >= 0 && dispatch->record->incarnations[silent_incarnation].agent == view->agent)
-        incarnation_lapse_runs(dispatch, silent_incarnation, report->orders_taken);
+        incarnation_lapse_silent(dispatch, silent_incarnation, report->orders_taken);
     /* another incarnation answers at this agent under our epoch: earlier incarnations have ended */
     for (int64_t k = 0;
          report->present && report->ready && report->epoch == dispatch->epoch && k < dispatch->n_incarnation_states;
--- a/src/dispatch/leader_runs.c
+++ b/src/dispatch/leader_runs.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/error.h"
+#include "base/events.h"
 #include "dispatch/leader_state.h"
 
 static struct incarnation_state *incarnation_state_at(struct dispatch *dispatch, int64_t incarnation)
@@ -177,10 +178,22 @@
         (struct run_ref){.job = run->job->spec.id, .task = run->task, .attempt = run->attempt};
 }
 
-void incarnation_lapse_runs(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken)
+int64_t incarnation_lapse_runs(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken)
 {
     struct incarnation_state *state = &dispatch->incarnation_states[incarnation];
+    int64_t lapsed = 0;
     for (int64_t i = 0; i < state->n; i++)
-        if (!state->runs[i].ending && state->runs[i].start_orders_number <= orders_taken)
+        if (!state->runs[i].ending && state->runs[i].start_orders_number <= orders_taken) {
             run_end(dispatch, &state->runs[i], END_LAPSED, NULL);
+            lapsed++;
+        }
+    return lapsed;
+}
+
+void incarnation_lapse_silent(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken)
+{
+    int64_t lapsed = incarnation_lapse_runs(dispatch, incarnation, orders_taken);
+    if (lapsed)
+        world_note(dispatch->world, EV_EXECUTOR_GONE, "runs=%lld executor=%s", (long long)lapsed,
+                   dispatch->record->incarnations[incarnation].name);
 }
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -178,8 +178,10 @@
 /* Stops all runs of the gang that the row belongs to, if any. */
 void run_gang_stop(struct dispatch *dispatch, struct job *job, int64_t row_index);
 /* Proposes the end of all runs of an incarnation as lapsed, except runs whose start was last sent in orders with a
- * number above orders_taken. */
-void incarnation_lapse_runs(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken);
+ * number above orders_taken. Returns how many. */
+int64_t incarnation_lapse_runs(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken);
+/* Does so for an incarnation that did not respond until its leases had expired, and logs it. */
+void incarnation_lapse_silent(struct dispatch *dispatch, int64_t incarnation, int64_t orders_taken);
 
 /* leader_requests.c */
 /* Answers a read request from the current record. */
--- a/src/dispatch/leader_watch.c
+++ b/src/dispatch/leader_watch.c
@@ -41,7 +41,7 @@
     int64_t wait_ms = dispatch->settings.lease_ms * 102 / 100 + LEASE_MARGIN_MS;
     for (int64_t k = 0; k < dispatch->n_incarnation_states; k++)
         if (dispatch->incarnation_states[k].n && now_ms - dispatch->incarnation_states[k].grant_ms > wait_ms)
-            incarnation_lapse_runs(dispatch, k, INT64_MAX);
+            incarnation_lapse_silent(dispatch, k, INT64_MAX);
 }
 
 static const struct step_spec *spec_of(const struct run *run)
--- a/tests/unit/agent_leaving_test.cc
+++ b/tests/unit/agent_leaving_test.cc
@@ -2,6 +2,10 @@
 // calls without a response.
 #include "agent_rig.h"
 
+extern "C" {
+#include "base/events.h"
+}
+
 using namespace agent_rig;
 
 namespace
@@ -71,3 +75,32 @@
     leaver.run(1000);
     EXPECT_TRUE(leaver.rig.lost("A"));
 }
+
+namespace
+{
+
+int64_t count_ended(const Rig &rig, const std::string &why)
+{
+    return std::count_if(rig.events.begin(), rig.events.end(), [&](const std::pair<int, std::string> &event) {
+        return event.first == EV_INCARNATION_ENDED && event.second.find(why) != std::string::npos;
+    });
+}
+
+} // namespace
+
+// Guards against a log that says "did not respond until all its leases expired" of an executor whose leases had not
+// expired, or that was replaced.
+TEST(AgentLeaving, the_log_tells_what_proves_the_end_of_an_incarnation)
+{
+    Leaver leaver;
+    leaver.rig.set_fault(LOST);
+    leaver.run(LEASE * 2);
+    EXPECT_EQ(count_ended(leaver.rig, "it left, and its leases have expired\" executor=A"), 1);
+    Rig replaced;
+    replaced.settled();
+    replaced.executor.incarnation = "B";
+    replaced.heartbeat("B", 1);
+    replaced.run(500);
+    EXPECT_EQ(count_ended(replaced, "another incarnation responds in its place\" executor=A"), 1);
+    EXPECT_EQ(count_ended(replaced, ""), 1);
+}
--- a/tests/unit/agent_rig.h
+++ b/tests/unit/agent_rig.h
@@ -36,6 +36,7 @@
     std::vector<Call> in_flight;
     std::shared_ptr<Report> last_report = std::make_shared<Report>();
     std::vector<int64_t> reports_at;
+    std::vector<std::pair<int, std::string>> events; // logged: number and text
     std::function<CallFault(const Call &)> fault = [](const Call &) { return EXECUTED; };
     std::function<int64_t()> response_delay = [] { return 0; }; // from the execution to the response
     std::vector<std::string> sent;                              // "METHOD BODY" of every call
@@ -51,7 +52,7 @@
     static int64_t mono(struct world *w) { return of(w)->now; }
     static int64_t wall_ms(struct world *w) { return of(w)->wall; }
     static uint64_t random(struct world *) { return 4; }
-    static void note(struct world *, int, const char *) {}
+    static void note(struct world *w, int event, const char *text) { of(w)->events.push_back({event, text}); }
     static void answer(struct world *w, int64_t slot, int status, int64_t, const char *body)
     {
         of(w)->last_status = status;
--- a/tests/unit/leader_rig.h
+++ b/tests/unit/leader_rig.h
@@ -110,6 +110,7 @@
     std::vector<std::unique_ptr<Orders>> orders;    // sent, the oldest first
     std::deque<Executor> executors;
     int64_t quarantines = 0, ticket = 0;
+    std::vector<std::pair<int, std::string>> events; // logged: number and text
     std::function<void(const Batch &)> on_propose = [](const Batch &) {};
     struct dispatch_settings settings = {};
 
@@ -118,7 +119,11 @@
     static int64_t mono(struct world *world) { return of(world)->now; }
     static int64_t wall_ms(struct world *world) { return of(world)->wall; }
     static uint64_t random(struct world *) { return 4; }
-    static void note(struct world *world, int event, const char *) { of(world)->quarantines += event == EV_QUARANTINE; }
+    static void note(struct world *world, int event, const char *text)
+    {
+        of(world)->quarantines += event == EV_QUARANTINE;
+        of(world)->events.push_back({event, text});
+    }
     static void propose(void *arg, const struct bytes *packed, int64_t tag)
     {
         auto batch = std::make_unique<Batch>();
--- a/tests/unit/leader_time_test.cc
+++ b/tests/unit/leader_time_test.cc
@@ -84,6 +84,8 @@
     dispatch_flush(rig.dispatch);
     ASSERT_EQ(rig.log.size(), 1u);
     EXPECT_EQ(rig.log[0]->end_of({1, 0, 1}), END_LAPSED);
+    const std::pair<int, std::string> logged{EV_EXECUTOR_GONE, "runs=1 executor=" + e.incarnation};
+    EXPECT_EQ(std::count(rig.events.begin(), rig.events.end(), logged), 1);
 }
 
 // The order may still reach the agent, and the executor may answer again and start the run.
