--- a/src/agent/agent_responses.c
+++ b/src/agent/agent_responses.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "agent/agent_state.h"
+#include "base/backoff.h"
 
 int run_is_active(const struct run_lists *lists, const struct run_ref *run)
 {
@@ -30,12 +31,6 @@
     return response->kind == EXECUTOR_REFUSED ? executor_response_refusal(response) : REFUSED_NONE;
 }
 
-static int64_t backoff_next(int64_t retry_ms, int64_t least, int64_t most)
-{
-    int64_t next = retry_ms ? retry_ms * 2 : least;
-    return next < most ? next : most;
-}
-
 static int is_known_end(const struct agent_incarnation *incarnation, int64_t seq)
 {
     for (int64_t i = incarnation->lists.n_ended - 1; i >= 0; i--)
--- a/src/controller/relay.c
+++ b/src/controller/relay.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/backoff.h"
 #include "base/error.h"
 #include "base/events.h"
 #include "controller/controller_state.h"
@@ -185,9 +186,7 @@
  * other controllers may keep naming that controller as the leader, and a request may be as large as a configuration. */
 static void delay_resend(struct controller *controller, struct relayed_request *relayed)
 {
-    relayed->resend_delay_ms = relayed->resend_delay_ms ? 2 * relayed->resend_delay_ms : TIMER_MS;
-    if (relayed->resend_delay_ms > RESEND_MS)
-        relayed->resend_delay_ms = RESEND_MS;
+    relayed->resend_delay_ms = backoff_next(relayed->resend_delay_ms, TIMER_MS, RESEND_MS);
     relayed->resend_after_ms = world_ms(controller->w) + relayed->resend_delay_ms;
 }
 
