A disk that fails at the start of a controller is opened again, as one that fails later

Cause: run_controller() went on without the disk if controller_new() failed, for whatever reason.

Ruled out: the repair of voters (the leader said that it waits, since no member with a disk asked to join); the state on the disks (two of three disks held everything).

Until then the log is broken: nothing is sent under the identity, so the controller counts for no majority; requests are forwarded. E2009 tells of each failure, the new E2017 that the disk works. Simulated disks refuse writes, leaving a part of them, refuse all calls, or fail half of them, from the first start on.

--- a/sim/cluster.c
+++ b/sim/cluster.c
@@ -114,10 +114,6 @@
                                              .segment_bytes = cluster->log.segment_bytes},
                                      .codec = &cluster_api_codec};
     host->controller = controller_new(&host->base, &setup);
-    if (!host->controller) {
-        cluster_trace(cluster, 0, "%s rejects its disk and exits", host->name);
-        host->up = 0;
-    }
 }
 
 static void boot_agent(struct host *host)
@@ -170,8 +166,6 @@
         boot_controller(host, first_start);
     else
         boot_agent(host);
-    if (!host->up) /* it exited at once */
-        return;
     host->busy_until_us = cluster->now_us + host->stall_us;
     host->stall_us = 0;
     struct cluster_event *timer = must_alloc(sizeof *timer);
@@ -254,6 +248,13 @@
         cluster_disk_clear(host->disk);
 }
 
+void host_disk_fail(struct host *host, enum disk_fault fault, int64_t for_ms)
+{
+    static const char *const texts[] = {"works", "refuses writes", "refuses all calls", "fails sometimes"};
+    cluster_trace(host->cluster, 0, "the disk of %s %s for %lld ms", host->name, texts[fault], (long long)for_ms);
+    cluster_disk_fail(host->disk, fault, host->cluster->now_us + for_ms * 1000);
+}
+
 void host_disk_copy(struct host *host)
 {
     if (!host->disk_copy)
--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -9,6 +9,7 @@
 #include "base/world.h"
 #include "sim/cluster_link.h"
 #include "sim/cluster_operator.h"
+#include "sim/disk_fault.h"
 #include "sim/event_queue.h"
 
 enum { CLUSTER_ON_TIMER_US = 20000, STANDIN_ON_TIMER_US = 5000 };
@@ -262,6 +263,9 @@
     struct cluster_log log;
 };
 void cluster_start_with_options(struct cluster *cluster, uint64_t seed, const struct cluster_options *options);
+/* The disk of the first controller has this fault from the first start on, for fault_ms. */
+void cluster_start_with_disk_fault(struct cluster *cluster, uint64_t seed, const struct cluster_options *options,
+                                   enum disk_fault fault, int64_t fault_ms);
 void cluster_free(struct cluster *cluster);
 void cluster_run(struct cluster *cluster, int64_t ms);
 uint64_t cluster_random(struct cluster *cluster);
@@ -276,6 +280,7 @@
 void host_wipe(struct host *host);
 void host_disk_copy(struct host *host);   /* keeps a copy of what is synced to its disk */
 void host_disk_rewind(struct host *host); /* restores that copy; only while the host is down */
+void host_disk_fail(struct host *host, enum disk_fault fault, int64_t for_ms);
 void host_freeze(struct host *host, int64_t for_ms);
 void host_skew(struct host *host, int64_t by_ms);
 void host_note_fault(struct host *host); /* the oracle tolerates delays for CONTACT_MS */
@@ -334,6 +339,7 @@
 void cluster_disk_copy(struct cluster_disk *to, const struct cluster_disk *from); /* what is synced */
 void cluster_disk_power_loss(struct cluster_disk *disk);
 void cluster_disk_stall(struct cluster_disk *disk, int64_t until_us);
+void cluster_disk_fail(struct cluster_disk *disk, enum disk_fault fault, int64_t until_us);
 void cluster_calls_disk(struct world_calls *calls);
 
 /* --- cluster_executor.c, cluster_executor_runs.c ------------------------------------------------------- */
--- a/sim/cluster_run.c
+++ b/sim/cluster_run.c
@@ -16,18 +16,22 @@
     cluster->trace_level = getenv("SAGEHITCH_TRACE") ? (int)text_to_int64(getenv("SAGEHITCH_TRACE")) : 0;
 }
 
-static void add_hosts(struct cluster *cluster, int disks, int diskless, int agents)
+static void add_hosts(struct cluster *cluster, const struct cluster_options *options)
 {
-    for (int i = 0; i < disks; i++) {
+    for (int i = 0; i < options->disks; i++) {
         struct host *host = cluster_add(cluster, HOST_CONTROLLER, 1, i % 3);
         if (cluster->n_seeds < 3)
             cluster->seeds[cluster->n_seeds++] = (int64_t)host->base.self;
     }
-    for (int i = 0; i < diskless; i++)
+    for (int i = 0; i < options->diskless; i++)
         cluster_add(cluster, HOST_CONTROLLER, 0, i % 3);
-    for (int i = 0; i < agents; i++)
+    for (int i = 0; i < options->agents; i++)
         cluster_add(cluster, HOST_AGENT, 0, i % 3);
-    cluster->disks = disks;
+    cluster->disks = options->disks;
+}
+
+static void boot_hosts(struct cluster *cluster)
+{
     for (int64_t i = 0; i < cluster->n; i++) {
         host_boot(cluster->hosts[i], 1);
         if (cluster->hosts[i]->standin)
@@ -38,7 +42,17 @@
 void cluster_start_with_options(struct cluster *cluster, uint64_t seed, const struct cluster_options *options)
 {
     begin(cluster, seed, options);
-    add_hosts(cluster, options->disks, options->diskless, options->agents);
+    add_hosts(cluster, options);
+    boot_hosts(cluster);
+}
+
+void cluster_start_with_disk_fault(struct cluster *cluster, uint64_t seed, const struct cluster_options *options,
+                                   enum disk_fault fault, int64_t fault_ms)
+{
+    begin(cluster, seed, options);
+    add_hosts(cluster, options);
+    host_disk_fail(cluster->hosts[0], fault, fault_ms);
+    boot_hosts(cluster);
 }
 
 void cluster_start(struct cluster *cluster, uint64_t seed, int disks, int diskless, int agents)
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -29,6 +29,7 @@
     X(2014, EV_LEAVE_WAITS, LEVEL_WARN, "voter asked to stop waits, another is missing")           \
     X(2015, EV_MAJORITY_LOST, LEVEL_WARN, "no replies from a majority, leader steps down")         \
     X(2016, EV_REPAIR_WAITS, LEVEL_WARN, "replacement of a voter waits")                           \
+    X(2017, EV_DISK_WORKS, LEVEL_INFO, "disk works again, log is read")                            \
     X(3001, EV_CHARTER, LEVEL_INFO, "settings version in effect")                                  \
     X(3002, EV_DUTY_GIVEN, LEVEL_INFO, "shard or executor assigned to a node")                     \
     X(3003, EV_GATE_CLOSED, LEVEL_WARN, "configuration tree not confirmed, admission closed")      \
--- a/src/controller/ballot.c
+++ b/src/controller/ballot.c
@@ -39,6 +39,8 @@
 int ballot_load(struct controller *controller)
 {
     int rc = ERROR_NOT_FOUND;
+    schema_free(&acceptor_schema, &controller->acceptor);
+    controller->acceptor = (struct acceptor){0};
     if (controller->votes)
         rc = log_load_schema(controller->w, "founding-ballot", &acceptor_schema, &controller->acceptor);
     controller->proposer.start_ms = world_ms(controller->w) + (rc ? 0 : RESTART_WAIT_MS);
--- a/src/controller/bootstrap.c
+++ b/src/controller/bootstrap.c
@@ -38,6 +38,8 @@
 
 int bootstrap_load(struct controller *controller)
 {
+    schema_free(&log_members_schema, &controller->bootstrap_members);
+    controller->bootstrap_members = (struct log_members){0};
     int rc = ballot_load(controller);
     if (rc || !controller->votes)
         return rc;
@@ -49,12 +51,13 @@
                : ERROR_NONE;
 }
 
-/* Starts the log with the chosen members, after they are synced. Does nothing unless the log is empty and the list has
- * the identity of this controller, which was created together with its disk. */
+/* Starts the log with the chosen members, after they are synced. Does nothing unless the log has been read and is empty
+ * and the list has the identity of this controller, which was created together with its disk. */
 static void start_log(struct controller *controller, const struct log_members *members)
 {
     struct log_members copy = {0};
-    if (!controller->votes || controller->bootstrap_members.n || !controller_empty(controller))
+    if (!controller->votes || controller->log.broken || controller->bootstrap_members.n ||
+        !controller_empty(controller))
         return;
     schema_copy(&log_members_schema, &copy, members);
     struct log_members old = controller->bootstrap_members;
--- a/src/controller/controller.c
+++ b/src/controller/controller.c
@@ -9,67 +9,10 @@
 #include "base/error.h"
 
 enum {
-    HEARTBEAT_MS = 100,
-    ELECTION_MS = 500,
-    SNAPSHOT_EVERY = 2000,
-    KEEP_ENTRIES = 500,
     SERVE_WHILE_LEAVING_MS = 2500, /* time after a request to stop while callers may still use this address */
-    HAND_OVER_MS = 1000,           /* a leader that handed over steps down if no successor is elected in this time */
-    REOPEN_MS = 1000               /* time after a disk error until the log is read again */
+    HAND_OVER_MS = 1000            /* a leader that handed over steps down if no successor is elected in this time */
 };
 
-/* --- state machine of the log: the record --------------------------------------------------- */
-
-static void apply(void *arg, int64_t index, const struct bytes *op, struct bytes *out)
-{
-    struct controller *controller = arg;
-    struct record_result result = {0};
-    (void)index;
-    if (record_apply_batch(&controller->record, op, out ? &result : NULL))
-        return;
-    if (out)
-        schema_pack(&record_result_schema, &result, out);
-    schema_free(&record_result_schema, &result);
-}
-
-static void snapshot(void *arg, struct bytes *to) { record_snapshot(&((struct controller *)arg)->record, to); }
-
-/* Replaces the contents of the record by those of fresh, and takes over their ownership. The observer of the record and
- * its function for patches are kept. */
-static void record_replace(struct record *record, const struct record *fresh)
-{
-    struct record previous = *record;
-    *record = *fresh;
-    record->changed = previous.changed;
-    record->arg = previous.arg;
-    record->patch_config = previous.patch_config;
-    record_end(&previous);
-}
-
-static void record_clear(struct record *record)
-{
-    struct record fresh;
-    record_start(&fresh);
-    record_replace(record, &fresh);
-}
-
-/* Restores the record from a snapshot. A snapshot that cannot be read leaves the record unchanged. */
-static int restore(void *arg, const struct bytes *from)
-{
-    struct controller *controller = arg;
-    struct record fresh;
-    record_start(&fresh);
-    int rc = record_restore(&fresh, from);
-    if (rc) {
-        record_end(&fresh);
-        return rc;
-    }
-    if (controller->dispatch && dispatch_is_leader(controller->dispatch))
-        dispatch_become_follower(controller->dispatch); /* the state of a leading dispatch points into the record */
-    record_replace(&controller->record, &fresh);
-    return ERROR_NONE;
-}
-
 /* --- calls of dispatch ------------------------------------------------------- */
 
 static void on_committed(void *arg, int64_t tag, int error, const struct bytes *result)
@@ -119,25 +62,6 @@
 
 /* --- life cycle ------------------------------------------------------------------------ */
 
-static int open_log(struct controller *controller)
-{
-    const struct log_machine machine = {.arg = controller, .apply = apply, .snapshot = snapshot, .restore = restore};
-    log_start(&controller->log, controller->w, controller->cluster, GROUP_JOBS, controller->id, &machine);
-    controller->log.settings.heartbeat_ms = HEARTBEAT_MS;
-    controller->log.settings.election_ms = ELECTION_MS;
-    controller->log.settings.snapshot_every =
-        controller->setup.log.snapshot_every ? controller->setup.log.snapshot_every : SNAPSHOT_EVERY;
-    controller->log.settings.keep_entries =
-        controller->setup.log.keep_entries ? controller->setup.log.keep_entries : KEEP_ENTRIES;
-    if (controller->setup.log.segment_bytes)
-        controller->log.settings.segment_bytes = controller->setup.log.segment_bytes;
-    log_election_reset(&controller->log);
-    int rc = log_load(&controller->log);
-    if (!rc && !controller_empty(controller))
-        controller->log.no_vote_before_ms = world_ms(controller->w) + ELECTION_MS;
-    return rc;
-}
-
 struct controller *controller_new(struct world *w, const struct controller_setup *setup)
 {
     struct controller *controller = must_alloc(sizeof *controller);
@@ -147,7 +71,6 @@
                                          .holds_lease = holds_lease,
                                          .barrier = barrier,
                                          .arg = controller};
-    int rc = ERROR_NONE;
     controller->w = w;
     controller->setup = *setup;
     controller->cluster = (uint32_t)hash_text(setup->cluster);
@@ -157,14 +80,10 @@
     controller->record.patch_config = setup->codec->patch_config;
     directory_start(&controller->directory, w, controller->cluster, NULL, 0, 1, setup->disk, setup->boot);
     controller_set_seeds(controller, setup->seeds, setup->n_seeds);
-    if (controller->votes && !(rc = log_identity(w, controller->cluster, &controller->id)))
-        rc = open_log(controller);
-    if (!rc)
-        rc = bootstrap_load(controller);
-    if (rc) {
-        controller_free(controller);
-        return NULL;
-    }
+    if (controller->votes)
+        storage_open(controller);
+    else
+        bootstrap_load(controller);
     controller->dispatch = dispatch_new(w, &controller->record, &setup->dispatch, &calls);
     return controller;
 }
@@ -205,29 +124,6 @@
     directory_set_seeds(&controller->directory, controller->seeds, controller->n_seeds);
 }
 
-/* Reads the log again REOPEN_MS after a disk error, with what was synced only, as after a restart. Until then nothing
- * is sent under this identity. */
-static void reopen_log(struct controller *controller)
-{
-    int64_t now_ms = world_ms(controller->w);
-    if (!controller->log.broken)
-        return;
-    if (!controller->disk_failed_ms)
-        controller->disk_failed_ms = now_ms;
-    if (now_ms - controller->disk_failed_ms < REOPEN_MS)
-        return;
-    controller->disk_failed_ms = now_ms;
-    log_on_timer(&controller->log); /* fails pending proposals and reads */
-    if (dispatch_is_leader(controller->dispatch))
-        dispatch_become_follower(controller->dispatch);
-    log_end(&controller->log);
-    record_clear(&controller->record);
-    if (open_log(controller))
-        controller->log.broken = 1;
-    else
-        controller->disk_failed_ms = 0;
-}
-
 /* Starts or stops dispatch and updates the directory to match this controller's role in the log. */
 static void apply_log_role(struct controller *controller)
 {
@@ -290,7 +186,7 @@
 {
     if (controller->votes) {
         log_on_timer(&controller->log);
-        reopen_log(controller);
+        storage_on_timer(controller);
         leave_on_timer(controller);
         apply_log_role(controller);
     }
--- a/src/controller/controller.h
+++ b/src/controller/controller.h
@@ -33,7 +33,8 @@
 };
 
 struct controller;
-/* Returns a new controller, owned by the caller. NULL: its disk is damaged, so its identity must not be used. */
+/* Returns a new controller, owned by the caller. A disk that cannot be read or written is opened again later; until
+ * then the controller takes no part in the log and forwards requests. */
 struct controller *controller_new(struct world *w, const struct controller_setup *setup);
 void controller_free(struct controller *controller);
 void controller_on_timer(struct controller *controller);
--- a/src/controller/controller_state.h
+++ b/src/controller/controller_state.h
@@ -102,19 +102,26 @@
     int64_t number, since_ms, reported;
 };
 
-enum { CANDIDATES_MAX = 64, JOIN_REQUESTS_MAX = 32 };
+enum {
+    CANDIDATES_MAX = 64,
+    JOIN_REQUESTS_MAX = 32,
+    HEARTBEAT_MS = 100, /* of the log */
+    ELECTION_MS = 500   /* silence of the leader after which a voter becomes a candidate, at least */
+};
 
 /* A controller. votes: it has a disk, so it may become a voter; id and log are used only then. id: its identity, synced
- * before it is first used. leaving, leave_ms: whether and when it was asked to stop. disk_failed_ms: time of the last
- * disk error, 0: the disk works. next_hand_over_ms: time of the next attempt to hand over leadership. All times are of
- * the monotonic clock. */
+ * before it is first used. leaving, leave_ms: whether and when it was asked to stop. reopen_ms: when the disk
+ * is opened again after an error, 0: it works; reopen_delay_ms: from the newest error until then; storage_loaded: its
+ * identity, log and bootstrap state were read in this process. next_hand_over_ms: time of the next attempt to hand over
+ * leadership. All times are of the monotonic clock. */
 struct controller {
     struct world *w;
     struct controller_setup setup;
     uint32_t cluster;
     char *zone;
     int64_t seeds[8], n_seeds;
-    int64_t votes, id, leaving, leave_ms, disk_failed_ms, next_hand_over_ms;
+    int64_t votes, id, leaving, leave_ms, next_hand_over_ms;
+    int64_t storage_loaded, reopen_ms, reopen_delay_ms;
     struct log log;
     struct record record;
     struct directory directory;
@@ -164,8 +171,14 @@
 void relay_give_up(struct controller *controller); /* answers all waiting requests as if their deadline had passed */
 void relay_end(struct controller *controller);
 
+/* storage.c */
+/* Opens the disk. After an error the log is broken, and storage_on_timer() opens the disk again. */
+void storage_open(struct controller *controller);
+void storage_on_timer(struct controller *controller);
+
 /* bootstrap.c */
-/* Loads the state of the bootstrap. Starts the log if a restart had interrupted that. */
+/* Loads the state of the bootstrap; may be called again after an error. Starts the log if a restart had interrupted
+ * that. */
 int bootstrap_load(struct controller *controller);
 void bootstrap_on_timer(struct controller *controller);
 void bootstrap_on_frame(struct controller *controller, const struct frame *frame);
--- a/tests/sim/cluster_run.h
+++ b/tests/sim/cluster_run.h
@@ -23,9 +23,13 @@
     Cluster(uint64_t seed, const cluster_options &options)
     {
         cluster_start_with_options(&c, seed, &options);
-        cluster_run(&c, 1000);
-        operator_first_config(&c);
-        cluster_run(&c, 2000);
+        first_config();
+    }
+    // The disk of the first controller has this fault from the first start on.
+    Cluster(uint64_t seed, const cluster_options &options, disk_fault fault, int64_t fault_ms)
+    {
+        cluster_start_with_disk_fault(&c, seed, &options, fault, fault_ms);
+        first_config();
     }
     ~Cluster()
     {
@@ -41,6 +45,12 @@
                    (long long)c.n_capacity_refused, (long long)c.n_late_orders, (long long)c.lost_core_ms / 1000);
         cluster_free(&c);
     }
+    void first_config()
+    {
+        cluster_run(&c, 1000);
+        operator_first_config(&c);
+        cluster_run(&c, 2000);
+    }
     std::string trace() { return trace_of(&c); }
     void run(int64_t ms) { cluster_run(&c, ms); }
     host *core(int64_t n) { return cluster_controller(&c, n); }
