A cancellation that was answered binds a submission that arrives after it

Cause: the cancellation of a job that is not known was answered from the record and left nothing behind.

This also ends the one answer of a cancellation that was given without the leader's lease. Simulated clients give up on submissions that are held up and cancel them; the oracle counts a 410 as an acknowledgement.

--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -409,6 +409,8 @@
 void callers_load(struct cluster *cluster, int64_t per_s, int64_t for_ms);
 void callers_burst(struct cluster *cluster, int64_t jobs, enum job_shape shape);
 void callers_cancel(struct cluster *cluster, struct tracked_job *job);
+/* Submits the job at this controller once, and cancels it at others after wait_ms without an answer, or after one. */
+void callers_submit_and_give_up(struct cluster *cluster, struct tracked_job *job, struct host *to, int64_t wait_ms);
 struct tracked_job *tracked_job(const struct cluster *cluster, int64_t id);
 struct tracked_task *tracked_task(const struct tracked_job *job, int64_t task); /* NULL: the job has no such task */
 struct tracked_gang *tracked_gang(struct tracked_job *job, int64_t repetition, int64_t step, int64_t attempt);
--- a/sim/cluster_callers.c
+++ b/sim/cluster_callers.c
@@ -165,10 +165,9 @@
     return host;
 }
 
-static void send_request(struct cluster *cluster, struct tracked_job *job, const char *method, const char *body,
-                         int64_t wait_ms, cluster_on_response *on_response)
+static void send_request_to(struct cluster *cluster, struct host *to, struct tracked_job *job, const char *method,
+                            const char *body, int64_t wait_ms, cluster_on_response *on_response)
 {
-    struct host *to = pick_controller(cluster);
     char *path = must_printf("%s%016llx", job->prefix, (unsigned long long)job->id);
     char *header = must_printf("Host: %s\nWait-Ms: %lld\n", job->host_name, (long long)wait_ms);
     cluster_request(cluster, &(struct cluster_http_request){.to = to,
@@ -185,6 +184,12 @@
     free(header);
 }
 
+static void send_request(struct cluster *cluster, struct tracked_job *job, const char *method, const char *body,
+                         int64_t wait_ms, cluster_on_response *on_response)
+{
+    send_request_to(cluster, pick_controller(cluster), job, method, body, wait_ms, on_response);
+}
+
 static void poll_state(struct cluster *cluster, void *arg, int64_t n);
 
 static int is_finished(const struct tracked_job *job)
@@ -216,6 +221,16 @@
 
 static void submit(struct cluster *cluster, void *arg, int64_t n);
 
+static void on_accepted(struct cluster *cluster, struct tracked_job *job)
+{
+    if (job->accepted_us >= 0)
+        return;
+    job->accepted_us = cluster->now_us;
+    cluster->n_accepted++;
+    cluster_trace(cluster, job->id, "job %llx accepted", (unsigned long long)job->id);
+    cluster_schedule(cluster, 200, poll_state, job, 0);
+}
+
 static void on_submit_response(struct cluster *cluster, void *arg, int64_t tag, int status, const char *body)
 {
     struct tracked_job *job = arg;
@@ -223,12 +238,7 @@
     cluster_oracle_check_response(cluster, job->id, status, body, NULL);
     job->in_flight--;
     if (status == 200) {
-        if (job->accepted_us < 0) {
-            job->accepted_us = cluster->now_us;
-            cluster->n_accepted++;
-            cluster_trace(cluster, job->id, "job %llx accepted", (unsigned long long)job->id);
-            cluster_schedule(cluster, 200, poll_state, job, 0);
-        }
+        on_accepted(cluster, job);
         return;
     }
     if (status == 429 || status == 503 || status == 404 || status == 400) {
@@ -266,7 +276,7 @@
 {
     struct tracked_job *job = arg;
     cluster_oracle_check_response(cluster, job->id, status, body, NULL);
-    if (status == 200)
+    if (status == 200 || (status == 410 && job->accepted_us < 0))
         cluster_oracle_on_cancel_acknowledged(cluster, job);
     else if (status == 410 && job->accepted_us >= 0 && job->seen_state_us < 0)
         cluster_oracle_on_job_not_found(cluster, job, cluster->hosts[tag]);
@@ -284,6 +294,23 @@
     send_request(cluster, job, "DELETE", "", 1000, on_cancel_response);
 }
 
+static void on_given_up(struct cluster *cluster, void *arg, int64_t tag, int status, const char *body)
+{
+    struct tracked_job *job = arg;
+    (void)tag, (void)body;
+    if (status == 200)
+        on_accepted(cluster, job);
+    if (status != 429 && status != 503)
+        callers_cancel(cluster, job);
+}
+
+void callers_submit_and_give_up(struct cluster *cluster, struct tracked_job *job, struct host *to, int64_t wait_ms)
+{
+    job->sent_us = cluster->now_us;
+    job->tries++;
+    send_request_to(cluster, to, job, "POST", job->body, wait_ms, on_given_up);
+}
+
 static void cancel_later(struct cluster *cluster, void *arg, int64_t n)
 {
     struct tracked_job *job = arg;
--- a/src/dispatch/leader_requests.c
+++ b/src/dispatch/leader_requests.c
@@ -92,12 +92,16 @@
     return NULL;
 }
 
+/* The cancellation of a job that is not known is committed too, before it is answered: a submission that arrives after
+ * it must not run. */
 static void request_cancel(struct dispatch *dispatch, int64_t ticket, const struct api_request *request)
 {
-    struct job *job = requested_job(dispatch, ticket, request);
-    if (!job)
+    int64_t id = api_request_job_id(request);
+    int known = record_job(dispatch->record, id) != NULL;
+    int answered = known ? !requested_job(dispatch, ticket, request) : !requested_queue(dispatch, ticket, request);
+    if (answered)
         return;
-    record_op_make_cancel(dispatch_op(dispatch), job->spec.id);
+    record_op_make_cancel(dispatch_op(dispatch), id);
     waiter_add(dispatch, ticket, request->kind);
 }
 
--- a/src/dispatch/record.c
+++ b/src/dispatch/record.c
@@ -128,6 +128,7 @@
         free(record->incarnations[i].name);
     free(record->incarnations);
     JSLFA(freed, record->incarnation_numbers);
+    cancelled_ids_clear(&record->cancelled_ids);
     rules_end(&record->rules);
     *record = (struct record){
         .changed = record->changed, .arg = record->arg, .rules = record->rules, .config_history.complete = 1};
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -6,6 +6,7 @@
 
 #include "base/error.h"
 #include "base/change_history.h"
+#include "dispatch/cancelled_ids.h"
 #include "dispatch/record_op.h"
 
 /* State of a row. The numbers are stored in snapshots. */
@@ -73,7 +74,8 @@
     struct incarnation *incarnations;
     int64_t n_incarnations;
     struct rules rules;
-    Pvoid_t incarnation_numbers; /* JudySL: name -> 1 + index into incarnations */
+    struct cancelled_ids cancelled_ids; /* of jobs that were cancelled before they were submitted */
+    Pvoid_t incarnation_numbers;        /* JudySL: name -> 1 + index into incarnations */
     void (*changed)(void *arg, struct job *job, int64_t row_index);
     void *arg;
     config_patcher *patch_config; /* NULL: patches are refused with ERROR_BAD_METHOD */
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -130,6 +130,8 @@
     record_index_job(record, job);
     record_link(record, job);
     record_notify(record, job, -1);
+    if (cancelled_ids_has(&record->cancelled_ids, op->spec.id, at_ms))
+        job_end(record, job, JOB_CANCELLED, at_ms);
     return ERROR_NONE;
 }
 
@@ -153,8 +155,10 @@
 static enum sagehitch_error apply_cancel(struct record *record, const struct record_op *op)
 {
     struct job *job = record_job(record, record_op_cancelled(op));
-    if (!job)
-        return ERROR_GONE;
+    if (!job) {
+        enum sagehitch_error rc = cancelled_ids_add(&record->cancelled_ids, record_op_cancelled(op), op->at_ms);
+        return rc ? rc : ERROR_GONE;
+    }
     if (!job_over(job))
         job_end(record, job, JOB_CANCELLED, op->at_ms);
     return ERROR_NONE;
--- a/src/dispatch/record_snapshot.c
+++ b/src/dispatch/record_snapshot.c
@@ -23,6 +23,8 @@
     int64_t n_incarnations, next_index, n_jobs, n_live;
     struct rules *rules; /* NULL: none were ever set */
     struct change_history config_history;
+    struct cancelled_id *cancelled_ids;
+    int64_t n_cancelled_ids;
 };
 /* A row that has changed since the job was accepted. since_ms: relative to accepted_ms of the job. */
 struct stored_row {
@@ -55,7 +57,8 @@
     INT_NAMED(stored_head, n_jobs, "nJobs"),
     INT_NAMED(stored_head, n_live, "nLive"),
     PTR(stored_head, rules, rules_schema),
-    SUB_NAMED(stored_head, config_history, "configHistory", change_history_schema)};
+    SUB_NAMED(stored_head, config_history, "configHistory", change_history_schema),
+    LIST_NAMED(stored_head, cancelled_ids, "cancelledIds", n_cancelled_ids, cancelled_id_schema)};
 static SCHEMA(stored_head_schema, stored_head, head_fields);
 
 static const struct field row_fields[] = {INT_NAMED(stored_row, row_index, "no"),
@@ -141,6 +144,8 @@
 {
     struct stored_head head = {.config = record->config,
                                .config_history = record->config_history,
+                               .cancelled_ids = record->cancelled_ids.entries,
+                               .n_cancelled_ids = record->cancelled_ids.n,
                                .n_queues = record->n_queues,
                                .n_incarnations = record->n_incarnations,
                                .next_index = record->next_index,
@@ -284,6 +289,8 @@
     if (!change_history_is_valid(history) ||
         (history->n && history->changes[history->n - 1].version != head->config.version))
         return 0;
+    if (head->n_cancelled_ids > CANCELLED_IDS_MAX)
+        return 0;
     return !head->rules || rules_valid(head->rules);
 }
 
@@ -335,6 +342,8 @@
         head.incarnations[i].name = NULL;
         record_index_incarnation(record, record->n_incarnations - 1);
     }
+    for (int64_t i = 0; i < head.n_cancelled_ids; i++)
+        cancelled_ids_add(&record->cancelled_ids, head.cancelled_ids[i].id, head.cancelled_ids[i].at_ms);
     int64_t n_jobs = head.n_jobs, n_live = head.n_live;
     schema_free(&stored_head_schema, &head);
     for (int64_t i = 0; !rc && i < n_jobs; i++)
--- a/tests/unit/record_model.h
+++ b/tests/unit/record_model.h
@@ -46,7 +46,8 @@
     std::set<std::string> queues;                // of the current configuration
     int64_t version = 0;
     std::map<int64_t, ModelJob> jobs;
-    std::vector<int64_t> order; // live jobs, in order of acceptance
+    std::vector<int64_t> order;           // live jobs, in order of acceptance
+    std::map<int64_t, int64_t> cancelled; // times of cancellations of jobs that were not known
 
     const Step &step(const ModelJob &j, int64_t s) { return specs[j.spec].steps[(size_t)s]; }
     ModelJob *job(int64_t id) { return jobs.count(id) ? &jobs[id] : nullptr; }
@@ -97,10 +98,14 @@
                 for (int64_t i = 0; i < specs[spec].steps[s].tasks; i++)
                     j.rows[{t, s, i}].since_ms = now;
         order.push_back(id);
+        if (cancelled.count(id) && now - cancelled[id] <= CANCELLED_ID_KEEP_MS)
+            cancel(id, now);
     }
     void cancel(int64_t id, int64_t now)
     {
         ModelJob *j = job(id);
+        if (!j)
+            cancelled[id] = now;
         if (j && !j->over())
             j->state = JOB_CANCELLED, j->ended_ms = now, update_state(*j, now);
     }
