--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -7,14 +7,15 @@
 #include <jansson.h>
 
 #include "base/world.h"
+#include "sim/cluster_jobs.h"
 #include "sim/cluster_link.h"
 #include "sim/cluster_operator.h"
+#include "sim/cluster_standin.h"
 #include "sim/disk_fault.h"
 #include "sim/event_queue.h"
 
 enum { CLUSTER_ON_TIMER_US = 20000, STANDIN_ON_TIMER_US = 5000 };
 enum host_kind { HOST_CONTROLLER, HOST_AGENT };
-enum standin_end { RUN_DONE = 1, RUN_FAILED, RUN_STOPPED, RUN_LEASE_EXPIRED, RUN_GANG_BROKEN, RUN_GANG_TIMEOUT };
 
 /* Time limits and other bounds that the oracle checks and that the cores are configured with. */
 enum {
@@ -68,97 +69,6 @@
     struct standin *standin;
 };
 
-/* --- jobs of the callers and what was observed of them --------------------------- */
-
-/* A start of a task, as its executor observed it. */
-struct seen_start {
-    int64_t at_us, attempt, executor;
-};
-/* An end of a run. acknowledged: the leader confirmed to the executor that it knows of the end; lease_expired: the
- * executor's lease ran out before such a confirmation. */
-struct seen_end {
-    int64_t at_us, attempt, executor, generation, seq, how, acknowledged, lease_expired;
-};
-/* A task in one repetition of its job. reported: bits of the violations that were reported for it already;
- * checkpoint_ms: the most work that a checkpoint of it holds. */
-struct tracked_task {
-    struct seen_start *starts;
-    struct seen_end *ends;
-    int64_t n_starts, n_ends, checkpoint_ms, reported;
-};
-/* One attempt of a gang, over all executors. checkpoint: what all members start from. */
-struct tracked_gang {
-    int64_t repetition, step, attempt, began_us, required_us, broken, finished, started;
-    char *checkpoint;
-};
-/* A job of a caller. Times are set when the event happens; until then cancel_us is 0 and the others are -1.
- * in_flight: submissions without a response yet; seen_state: the newest state that a caller was shown, as an index into
- * the names in cluster_oracle_on_job_state(); n_not_found: 410 responses; unplaceable: no executor can run it;
- * failing_task: the task that fails in each attempt, -1: none; fail_pct: share of attempts that fail. */
-struct tracked_job {
-    int64_t id, serial, tasks_per_repetition, repetitions, unplaceable, failing_task, long_running, fail_pct;
-    struct job_spec *spec;
-    int64_t *first_task; /* by step: index of its first task within a repetition */
-    const char *host_name, *prefix, *service;
-    char *body;
-    int64_t sent_us, accepted_us, tries, refusals, in_flight, cancel_us, cancel_tries, cancel_ack_us, seen_state,
-        seen_state_us, n_not_found;
-    int64_t no_progress_since_us, no_progress_reported;
-    int64_t starts;
-    struct tracked_task *tracked_tasks;
-    struct tracked_gang *gangs;
-    int64_t n_gangs;
-};
-
-/* --- executors ---------------------------------------------------------------------- */
-
-/* A run on an executor. done_us: work done so far, of required_us; fails_at_us: the amount of work at which it fails,
- * -1: it does not fail; restore_us: time still needed to restore its checkpoint; stopping_us: when it will have
- * stopped, 0: no stop was ordered. */
-struct standin_run {
-    struct tracked_job *job;
-    int64_t repetition, step, index, task, attempt, started_us, done_us, required_us, restore_us, checkpoint_ms,
-        fails_at_us;
-    int64_t stopping_us, on_timer_us;
-    char *checkpoint;
-};
-/* An end that the executor reports until the leader acknowledges it. */
-struct standin_ended {
-    int64_t seq, job, task, attempt, how;
-    char *checkpoint;
-};
-/* Attempts of the task up to this one are refused on this executor. */
-struct standin_barred {
-    int64_t job, task, attempt;
-};
-/* A long poll that waits for the end of a run. */
-struct standin_poll {
-    int64_t call, deadline_us;
-};
-/* A stand-in of an executor. generation counts its incarnations; clock_offset_ms and clock_slow_ppm: how its clock
- * differs from virtual time; removed: it never starts again.
- * Invariants: fence_epoch and seq never decrease within an incarnation; runs includes those that are being stopped;
- * while up is 0 it has no runs, ends or polls. */
-struct standin {
-    struct host *host;
-    int64_t index, up, generation, booted_us, clock_offset_ms, clock_slow_ppm, lease_until_ms, fence_epoch, seq,
-        last_on_timer_us, removed;
-    char name[32];     /* in traces and violations */
-    char *incarnation; /* its id in messages, of any length up to EXECUTOR_ID_MAX */
-    const char *service, *rack, *label;
-    int64_t checks_capacity, cpu_milli, memory_mb, gpus;
-    struct standin_run *runs;
-    struct standin_ended *ended;
-    struct standin_barred *barred;
-    struct standin_poll *polls;
-    int64_t n_runs, n_ended, n_barred, n_polls;
-    int64_t serves_until_us; /* it has announced its end and ends at this time; 0: it has not */
-    int64_t draining, drain_ack_us, leaves_us, return_after_ms, next_heartbeat_us, heartbeat_seq, heartbeat_sent_us;
-    int64_t slow_pct, hang_until_us, fail_until_us, sick_until_us, late_until_us,
-        faulty_until_us; /* slow_pct: time per work; until when it hangs, fails all runs, refuses starts or
-                          carries out requests late; until when it had a fault */
-};
-
 /* --- events ---------------------------------------------------------------------------- */
 
 enum cluster_event_kind {
@@ -342,80 +252,13 @@
 void cluster_disk_fail(struct cluster_disk *disk, enum disk_fault fault, int64_t until_us);
 void cluster_calls_disk(struct world_calls *calls);
 
-/* --- cluster_executor.c, cluster_executor_runs.c ------------------------------------------------------- */
-struct standin *standin_new(struct host *host, int64_t index);
-void standin_free(struct standin *standin);
-void standin_boot(struct standin *standin);
-void standin_crash(struct standin *standin, int64_t back_ms); /* a new incarnation starts after back_ms, < 0: never */
-void standin_drain(struct standin *standin, int64_t back_ms);
-void standin_on_timer(struct standin *standin);
-void standin_on_request(struct standin *standin, int64_t call, const char *path, const char *header, const char *body,
-                        int late);
-int64_t standin_clock_ms(const struct standin *standin);
-struct standin *cluster_standin(struct cluster *cluster, int64_t n);
-/* An order to start a task. checkpoint: where to continue from, "": none; late: it is carried out late. */
-struct standin_start {
-    struct tracked_job *job;
-    int64_t task, attempt;
-    const char *text, *checkpoint;
-    int late;
-};
-int standin_start(struct standin *standin, const struct standin_start *order); /* 0: no free capacity */
-struct standin_run *standin_run(struct standin *standin, int64_t job, int64_t task);
-void standin_stop(struct standin *standin, struct standin_run *run);
-void standin_finish(struct standin *standin, struct standin_run *run, enum standin_end how);
-void standin_advance(struct standin *standin, int64_t passed_us);
-void standin_expire_lease(struct standin *standin);
-/* cluster_heartbeats.c */
-void standin_heartbeat(struct standin *standin);
-void standin_leave(struct standin *standin);
-/* Announces the end of an executor that never said it drains; it serves on for serve_ms, then ends. */
-void standin_leave_serving(struct standin *standin, int64_t serve_ms, int64_t back_ms);
-/* cluster_executor.c, used by cluster_heartbeats.c */
-json_t *standin_report(const struct standin *standin);
-void standin_extend_lease(struct standin *standin, int64_t lease_until_ms); /* a lease is never shortened */
-void standin_acknowledge_ends(struct standin *standin, int64_t up_to_seq);  /* drops ends up to that seq */
-/* Carries out an order to start a run. Returns the HTTP status of the response; why: the reason in its body. */
-int standin_order_start(struct standin *standin, const json_t *order, int late, const char **why);
-void standin_order_stop(struct standin *standin, const json_t *order);
-void standin_shut_down(struct standin *standin, int64_t back_ms);
-void run_free(struct standin_run *run);
-void standin_bar(struct standin *standin, int64_t job, int64_t task, int64_t attempt);
-int64_t standin_barred(const struct standin *standin, int64_t job, int64_t task);
-void standin_usage(const struct standin *standin, int64_t *cpu_milli, int64_t *memory_mb, int64_t *gpus);
-
 /* --- cluster_callers.c -------------------------------------------------------------------------- */
-/* What a job looks like; all but SHAPE_STEPS have one step. SHAPE_RAW: for executors that do not check their capacity.
- */
-enum job_shape {
-    SHAPE_SINGLE_STEP,
-    SHAPE_STEPS,
-    SHAPE_GANG,
-    SHAPE_LABEL,
-    SHAPE_PREFERRED_RACK,
-    SHAPE_PER_EXECUTOR_LIMIT,
-    SHAPE_LONG_RUNNING,
-    SHAPE_REPEATED,
-    SHAPE_CHECKPOINTS,
-    SHAPE_UNPLACEABLE,
-    SHAPE_FAILING_TASK,
-    SHAPE_RAW,
-    SHAPE_LARGE,
-    SHAPE_DUPLICATES,
-    SHAPE_COUNT
-};
-struct tracked_job *callers_new_job(struct cluster *cluster, enum job_shape shape); /* not submitted yet */
 void callers_submit(struct cluster *cluster, struct tracked_job *job);
 void callers_load(struct cluster *cluster, int64_t per_s, int64_t for_ms);
 void callers_burst(struct cluster *cluster, int64_t jobs, enum job_shape shape);
 void callers_cancel(struct cluster *cluster, struct tracked_job *job);
 /* Submits the job at this controller once, and cancels it at others after wait_ms without an answer, or after one. */
 void callers_submit_and_give_up(struct cluster *cluster, struct tracked_job *job, struct host *to, int64_t wait_ms);
-struct tracked_job *tracked_job(const struct cluster *cluster, int64_t id);
-struct tracked_task *tracked_task(const struct tracked_job *job, int64_t task); /* NULL: the job has no such task */
-struct tracked_gang *tracked_gang(struct tracked_job *job, int64_t repetition, int64_t step, int64_t attempt);
-int tracked_step_done(const struct tracked_job *job, int64_t repetition, int64_t step);
-void tracked_job_free(struct tracked_job *job);
 int64_t callers_unfinished(const struct cluster *cluster);
 /* Ends all faults and runs until all jobs have finished; the oracle reports those that have not within FINISH_MS. */
 void cluster_finish(struct cluster *cluster);
