--- a/sim/cluster_callers.c
+++ b/sim/cluster_callers.c
@@ -9,7 +9,7 @@
 #include "dispatch/messages.h"
 #include "sim/cluster.h"
 
-enum { SUBMIT_TRIES_MAX = 5, SUBMIT_WAIT_MS = 3000 };
+enum { SUBMIT_TRIES_MAX = 5, SUBMIT_WAIT_MS = 3000, STATE_TIMEOUT_MS = 1000, FINAL_STATE_TIMEOUT_MS = 2000 };
 
 /* --- submission --------------------------------------------------------------- */
 
@@ -22,31 +22,33 @@
     return host;
 }
 
-static void send_request_to(struct cluster *cluster, struct host *to, struct tracked_job *job, const char *method,
-                            const char *body, int64_t wait_ms, cluster_on_response *on_response)
+/* A request about a job. to: the controller that it is sent to, NULL: any. */
+struct job_request {
+    struct host *to;
+    const char *method, *body;
+    int64_t wait_ms;
+    cluster_on_response *on_response;
+};
+
+static void send_request(struct cluster *cluster, struct tracked_job *job, const struct job_request *request)
 {
+    struct host *to = request->to ? request->to : pick_controller(cluster);
     char *path = must_printf("%s%016llx", job->prefix, (unsigned long long)job->id);
-    char *header = must_printf("Host: %s\nWait-Ms: %lld\n", job->host_name, (long long)wait_ms);
+    char *header = must_printf("Host: %s\nWait-Ms: %lld\n", job->host_name, (long long)request->wait_ms);
     cluster_request(cluster, &(struct cluster_http_request){.to = to,
                                                             .entry = ENTRY_CALLERS,
-                                                            .method = method,
+                                                            .method = request->method,
                                                             .path = path,
                                                             .header = header,
-                                                            .body = body,
-                                                            .wait_ms = wait_ms,
-                                                            .on_response = on_response,
+                                                            .body = request->body,
+                                                            .wait_ms = request->wait_ms,
+                                                            .on_response = request->on_response,
                                                             .arg = job,
                                                             .tag = to->index});
     free(path);
     free(header);
 }
 
-static void send_request(struct cluster *cluster, struct tracked_job *job, const char *method, const char *body,
-                         int64_t wait_ms, cluster_on_response *on_response)
-{
-    send_request_to(cluster, pick_controller(cluster), job, method, body, wait_ms, on_response);
-}
-
 static void poll_state(struct cluster *cluster, void *arg, int64_t n);
 
 static int is_finished(const struct tracked_job *job)
@@ -70,10 +72,17 @@
         cluster_schedule(cluster, 300 + cluster_pick(cluster, 700), poll_state, job, 0);
 }
 
+static void request_state(struct cluster *cluster, struct tracked_job *job, int64_t wait_ms)
+{
+    send_request(
+        cluster, job,
+        &(struct job_request){.method = "GET", .body = "", .wait_ms = wait_ms, .on_response = on_state_response});
+}
+
 static void poll_state(struct cluster *cluster, void *arg, int64_t n)
 {
     (void)n;
-    send_request(cluster, arg, "GET", "", 1000, on_state_response);
+    request_state(cluster, arg, STATE_TIMEOUT_MS);
 }
 
 static void submit(struct cluster *cluster, void *arg, int64_t n);
@@ -120,7 +129,10 @@
         job->sent_us = cluster->now_us;
     job->tries++;
     job->in_flight++;
-    send_request(cluster, job, "POST", job->body, SUBMIT_WAIT_MS, on_submit_response);
+    send_request(
+        cluster, job,
+        &(struct job_request){
+            .method = "POST", .body = job->body, .wait_ms = SUBMIT_WAIT_MS, .on_response = on_submit_response});
 }
 
 static void retry_cancel(struct cluster *cluster, void *arg, int64_t n)
@@ -148,7 +160,9 @@
         cluster_trace(cluster, job->id, "job %llx: cancellation requested", (unsigned long long)job->id);
     }
     job->cancel_tries++;
-    send_request(cluster, job, "DELETE", "", 1000, on_cancel_response);
+    send_request(
+        cluster, job,
+        &(struct job_request){.method = "DELETE", .body = "", .wait_ms = 1000, .on_response = on_cancel_response});
 }
 
 static void on_given_up(struct cluster *cluster, void *arg, int64_t tag, int status, const char *body)
@@ -165,7 +179,9 @@
 {
     job->sent_us = cluster->now_us;
     job->tries++;
-    send_request_to(cluster, to, job, "POST", job->body, wait_ms, on_given_up);
+    send_request(cluster, job,
+                 &(struct job_request){
+                     .to = to, .method = "POST", .body = job->body, .wait_ms = wait_ms, .on_response = on_given_up});
 }
 
 static void cancel_later(struct cluster *cluster, void *arg, int64_t n)
@@ -275,7 +291,7 @@
     }
     for (int64_t i = 0; i < cluster->n_jobs; i++) /* a final state must not change any more */
         if (is_finished(cluster->jobs[i]) && cluster->now_us - cluster->jobs[i]->seen_state_us < 90000000)
-            send_request(cluster, cluster->jobs[i], "GET", "", 2000, on_state_response);
+            request_state(cluster, cluster->jobs[i], FINAL_STATE_TIMEOUT_MS);
     cluster_run(cluster, 2500);
     operator_check_final(cluster);
     cluster_oracle_check_end(cluster);
