Two seeds without a disk killed in the first second: a failing test, listed

Cause: seeds without a disk forget what they promised, so they agree to nothing once they started again; the one that is left is no majority of the seeds.

--- a/tests/sim/cluster_bootstrap_test.cc
+++ b/tests/sim/cluster_bootstrap_test.cc
@@ -150,6 +150,24 @@
 TEST(ClusterBootstrap, FirstSeedWithoutDiskKilled) { each_step(0, KILLED, 3, 1); }
 TEST(ClusterBootstrap, FirstSeedWithoutDiskFrozen) { each_step(0, FROZEN, 7, 1); }
 
+// Guards against a log that is never begun: seeds without a disk forget what they promised when they start again, and
+// two of three that are killed leave no majority of the seeds (review/5).
+TEST(ClusterBootstrap, BothSeedsWithoutDiskKilledAtEachStep)
+{
+    for (uint64_t seed : seeds(2))
+        for (int step = 0; step < STEPS; step++) {
+            FirstStart s(seed, 3, 3, 2);
+            host *killed[] = {s.c.hosts[3], s.c.hosts[4]};
+            s.run(step * STEP_MS);
+            for (host *each : killed)
+                host_kill(each, 0);
+            s.run(500);
+            for (host *each : killed)
+                host_boot(each, 0);
+            EXPECT_GE(s.ready(READY_MS), 0) << "seed " << seed << ", killed after " << step * STEP_MS << " ms";
+        }
+}
+
 TEST(ClusterBootstrap, FirstSeedStartsLast)
 {
     for (uint64_t seed : seeds(LAST_SEED)) {
