--- a/sim/cluster_operator.h
+++ b/sim/cluster_operator.h
@@ -41,4 +41,9 @@
 void operator_check_final(struct cluster *cluster);
 const char *operator_body(const struct cluster *cluster, int64_t n); /* the whole configuration of the nth change */
 void operator_free(struct cluster *cluster);
+/* cluster_operator.c, used by cluster_operator_reads.c */
+/* The change of this version, and with this body unless it is NULL; NULL: there is none. */
+struct op_change *operator_find_change(struct cluster *cluster, int64_t version, const char *body);
+/* Records a request that begins now; change: its index, -1: it reads. Returns the index of the call. */
+int64_t operator_new_call(struct cluster *cluster, int64_t change);
 #endif
--- a/tests/sim/cluster_given_up_test.cc
+++ b/tests/sim/cluster_given_up_test.cc
@@ -29,7 +29,7 @@
 // controller (review/3). The oracle counts a 410 as the acknowledgement of a cancellation.
 TEST_P(ClusterGivenUp, JobsThatWereCancelledDoNotStart)
 {
-    for (uint64_t seed : seeds(4)) {
+    for (uint64_t seed : seeds(8)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         Cluster s(seed, {CORES, OUTER, 8, 1, 0, {}});
         callers_load(&s.c, 3, 20000);
