--- a/tests/platform/platform_test.h
+++ b/tests/platform/platform_test.h
@@ -82,3 +82,21 @@
     R"({"service":"s-mill","address":"10.9.8.7:8080","zone":"north","revision":"v3","capacity":4,"state":"draining",)"
     R"("departureMs":1750.5,"warmupRemainingMs":300,"freeCapacity":{"vcpus":8000,"memoryRequestMb":16384,"gpus":2},)"
     R"("labels":["b","r4-2"],"clockMs":99,"callSequence":12})";
+
+// The text with the first occurrence of `from` replaced.
+inline std::string replaced_text(std::string text, const std::string &from, const std::string &to)
+{
+    auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+// Expects that reading the request fails with this error at this path, and leaves nothing behind.
+inline void expect_refused(const Request &request, int error, const std::string &path)
+{
+    ParsedRequest parsed(request);
+    EXPECT_EQ(parsed.error, error) << request.body.substr(0, 200);
+    EXPECT_EQ(parsed.validation_error.error, error);
+    EXPECT_EQ(parsed.validation_error.path, path) << request.body.substr(0, 200);
+    EXPECT_TRUE(parsed.empty());
+}
--- a/tests/platform/rules_api_test.cc
+++ b/tests/platform/rules_api_test.cc
@@ -14,14 +14,6 @@
 }
 Request get(const std::string &path) { return {ENTRY_OPERATORS, "GET", path, "", {}}; }
 
-void expect_refused(const Request &request, int error, const std::string &path)
-{
-    ParsedRequest parsed(request);
-    EXPECT_EQ(parsed.error, error) << request.body;
-    EXPECT_EQ(parsed.validation_error.path, path) << request.body;
-    EXPECT_TRUE(parsed.empty());
-}
-
 // Applies requests that change or read rules directly to a record.
 struct RulesStore {
     struct record r = {};
--- a/tests/platform/settings_test.cc
+++ b/tests/platform/settings_test.cc
@@ -71,13 +71,6 @@
     ~ParsedSettings() { settings_free(&settings); }
 };
 
-std::string replaced_text(std::string text, const std::string &from, const std::string &to)
-{
-    auto at = text.find(from);
-    EXPECT_NE(at, std::string::npos) << from;
-    return text.replace(at, from.size(), to);
-}
-
 } // namespace
 
 TEST(Settings, AllItems)
