--- a/tests/sim/cluster_disk_faults_test.cc
+++ b/tests/sim/cluster_disk_faults_test.cc
@@ -33,6 +33,24 @@
 
 void expect_leader(Cluster &s) { EXPECT_NE(cluster_leader(&s.c), nullptr) << s.trace(); }
 
+// Puts the cluster under load, and picks the leader or any voter.
+host *voter_under_load(Cluster &s)
+{
+    callers_load(&s.c, 5, 15000);
+    s.run(3000);
+    s.c.fault_free = 0;
+    return cluster_pick(&s.c, 2) ? s.leader() : s.core(cluster_pick(&s.c, CORES));
+}
+
+// The cluster must bear that another disk is lost.
+void expect_another_loss_is_borne(Cluster &s, const host *failed)
+{
+    lose_disk(s, other_core(s, failed));
+    expect_leader(s);
+    operator_read(&s.c);
+    s.close();
+}
+
 std::string name_of(const testing::TestParamInfo<int> &info)
 {
     static const char *const names[DISK_FAULTS] = {"Works", "RefusesWrites", "RefusesAll", "FailsSometimes"};
@@ -48,10 +66,7 @@
     for (uint64_t seed : seeds(4)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         Cluster s(seed);
-        callers_load(&s.c, 5, 15000);
-        s.run(3000);
-        s.c.fault_free = 0;
-        host *failing = cluster_pick(&s.c, 2) ? s.leader() : s.core(cluster_pick(&s.c, CORES));
+        host *failing = voter_under_load(s);
         host_kill(failing, (int)cluster_pick(&s.c, 2));
         s.run(200 + cluster_pick(&s.c, 1000));
         int64_t ms = fault_ms(s);
@@ -59,10 +74,7 @@
         host_boot(failing, 0);
         operator_change(&s.c, 1, 0);
         s.run(ms + RECOVERED_MS);
-        lose_disk(s, other_core(s, failing));
-        expect_leader(s);
-        operator_read(&s.c);
-        s.close();
+        expect_another_loss_is_borne(s, failing);
     }
 }
 
@@ -71,10 +83,7 @@
     for (uint64_t seed : seeds(4)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         Cluster s(seed);
-        callers_load(&s.c, 5, 15000);
-        s.run(3000);
-        s.c.fault_free = 0;
-        host *failing = cluster_pick(&s.c, 2) ? s.leader() : s.core(cluster_pick(&s.c, CORES));
+        host *failing = voter_under_load(s);
         int64_t ms = fault_ms(s);
         host_disk_fail(failing, fault(), ms);
         host_note_fault(failing);
@@ -83,10 +92,7 @@
         if (cluster_pick(&s.c, 2))
             host_restart(failing);
         s.run(RECOVERED_MS);
-        lose_disk(s, other_core(s, failing));
-        expect_leader(s);
-        operator_read(&s.c);
-        s.close();
+        expect_another_loss_is_borne(s, failing);
     }
 }
 
