The leader ignores reports that newer ones of the same agent have overtaken

Small reports go by datagram and large ones by stream, so that the order may change.

Change: dispatch_report() drops a report whose stamp is older than that of the newest one of the same start of the agent. It is not answered either, so that it renews no lease.

--- a/src/dispatch/leader_executor_views.c
+++ b/src/dispatch/leader_executor_views.c
@@ -223,6 +223,8 @@
         return;
     struct executor_view *view = executor_view_of(dispatch, agent);
     int64_t now_ms = world_ms(dispatch->world);
+    if (report->boot == view->boot && report->stamp_ms < view->stamp_ms)
+        return; /* it was overtaken by a newer report, which says what holds now */
     int new_incarnation = !view->present || !report->present || !view->executor.incarnation ||
                           strcmp(view->executor.incarnation, report->executor.incarnation);
     if (new_incarnation) {
@@ -240,6 +242,7 @@
     if (report->present)
         schema_copy(&executor_state_schema, &view->executor, &report->executor);
     view->boot = report->boot;
+    view->stamp_ms = report->stamp_ms;
     view->received_ms = now_ms;
     view->epoch = report->epoch;
     view->present = report->present;
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -54,7 +54,7 @@
 /* The leader's view of an agent and its executor, from the newest report.
  * *_reserved: capacity of placements that are not committed yet. */
 struct executor_view {
-    int64_t agent, boot;           /* as in struct agent_report */
+    int64_t agent, boot, stamp_ms; /* boot, stamp_ms: of the newest report, as in struct agent_report */
     int64_t received_ms;           /* when the newest report was received, steady clock */
     int64_t epoch, present, ready; /* ready: under this leader's epoch */
     struct executor_state executor;
--- a/tests/unit/leader_again_test.cc
+++ b/tests/unit/leader_again_test.cc
@@ -101,3 +101,25 @@
 }
 
 } // namespace
+
+// Guards against runs that lapse while they run: a report of a former incarnation, overtaken by reports of the next
+// one, was taken for the proof that the next one had ended.
+TEST(LeaderReports, OvertakenReportIsIgnored)
+{
+    Rig rig;
+    rig.executor();
+    rig.run(500);
+    rig.executors.push_back(rig.executors.front());
+    Executor &former = rig.executors.front(), &next = rig.executors.back();
+    former.up = false;
+    next.incarnation = "N";
+    rig.report(next);
+    job *j = rig.add(1, NORMAL, {Rig::step(1, 500)});
+    rig.run(300);
+    ASSERT_EQ(next.active.size(), 1u);
+    rig.report(former, 400);
+    rig.run(300);
+    EXPECT_EQ(j->n_placed, 1);
+    EXPECT_EQ(j->rows[0].attempt, 1);
+    EXPECT_EQ(rig.executor_of(j), &next);
+}
--- a/tests/unit/leader_rig.h
+++ b/tests/unit/leader_rig.h
@@ -304,10 +304,12 @@
         report(e);
         return e;
     }
-    void report(Executor &e)
+    // age_ms: since the agent sent the report, which newer ones may have overtaken.
+    void report(Executor &e, int64_t age_ms = 0)
     {
         struct agent_report message = {};
-        message.stamp_ms = now, message.boot = 1, message.epoch = e.epoch, message.present = 1, message.ready = 1;
+        message.stamp_ms = now - age_ms, message.boot = 1, message.epoch = e.epoch, message.present = 1,
+        message.ready = 1;
         message.orders_taken = e.orders_taken;
         message.executor.incarnation = must_dup(e.incarnation.c_str());
         message.executor.service = must_dup("work");
