--- a/src/proc/disk.c
+++ b/src/proc/disk.c
@@ -46,9 +46,18 @@
     return fd;
 }
 
+/* Makes the folder if there is none. It may have been impossible when the process started. */
+static enum sagehitch_error make_folder(const struct runtime *runtime)
+{
+    struct stat st;
+    if (mkdir(runtime->folder, 0750) && errno != EEXIST)
+        return ERROR_DISK;
+    return stat(runtime->folder, &st) || !S_ISDIR(st.st_mode) ? ERROR_DISK : ERROR_NONE;
+}
+
 static enum sagehitch_error disk_list(struct world *world, void (*each)(void *arg, const char *name), void *arg)
 {
-    DIR *dir = opendir(real_of(world)->folder);
+    DIR *dir = make_folder(real_of(world)) ? NULL : opendir(real_of(world)->folder);
     struct dirent *entry;
     if (!dir)
         return ERROR_DISK;
@@ -125,11 +134,8 @@
 
 enum sagehitch_error disk_start(struct runtime *runtime, const char *folder)
 {
-    struct stat st;
     runtime->folder = must_dup(folder);
-    if (mkdir(folder, 0750) && errno != EEXIST)
-        return ERROR_DISK;
-    return stat(folder, &st) || !S_ISDIR(st.st_mode) ? ERROR_DISK : ERROR_NONE;
+    return make_folder(runtime);
 }
 
 void disk_end(struct runtime *runtime)
