Files in a data folder with a long path keep their names

The buffer is longer than PATH_MAX now, so that the system refuses what is too long.

Measured: Disk.FilesOfAFolderWithALongPathKeepTheirNames failed before with paths of 1,193, 1,199 and 4,000 bytes, passes now.

--- a/src/proc/disk.c
+++ b/src/proc/disk.c
@@ -2,6 +2,7 @@
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -10,11 +11,14 @@
 #include "base/error.h"
 #include "proc/runtime.h"
 
+/* Longer than PATH_MAX and a name: a path that does not fit is refused by the system, not cut off to another one. */
+enum { PATH_BYTES = PATH_MAX + 128 };
+
 static struct runtime *real_of(struct world *world) { return (struct runtime *)world; }
 
 static const char *path_of(struct runtime *runtime, const char *name)
 {
-    static char paths[2][1200];
+    static char paths[2][PATH_BYTES];
     static int turn;
     char *path = paths[turn++ & 1];
     snprintf(path, sizeof paths[0], "%s/%s", runtime->folder, name);
--- a/tests/proc/disk_test.cc
+++ b/tests/proc/disk_test.cc
@@ -62,3 +62,17 @@
     EXPECT_EQ(rig.calls.disk_sync(rig.world(), "identity"), ERROR_NONE);
     disk_end(&rig.runtime);
 }
+
+// Guards against a path that is cut off, which would be another file.
+TEST(Disk, FilesOfAFolderWithALongPathKeepTheirNames)
+{
+    for (size_t len : {(size_t)1190, (size_t)1193, (size_t)1199, (size_t)4000}) {
+        TemporaryFolder folder;
+        DiskRig rig;
+        ASSERT_EQ(disk_start(&rig.runtime, (folder.path + std::string(len - folder.path.size(), '/')).c_str()),
+                  ERROR_NONE);
+        EXPECT_EQ(rig.calls.disk_add(rig.world(), "identity", "x", 1), ERROR_NONE) << len;
+        disk_end(&rig.runtime);
+        EXPECT_EQ(unlink((folder.path + "/identity").c_str()), 0) << len;
+    }
+}
