--- a/src/config_tree/config_tree.c
+++ b/src/config_tree/config_tree.c
@@ -6,7 +6,7 @@
 
 #include "base/error.h"
 
-enum { SEEN_MAX = 128, PLANS_MAX = 2000 };
+enum { SEEN_MAX = 128 };
 
 static const struct field branch_fields[] = {STR(branch, path), STR(branch, json)};
 SCHEMA(branch_schema, branch, branch_fields);
@@ -107,8 +107,13 @@
     const char *kind = planned->kind;
     *validation_error =
         (struct validation_error){.error = ERROR_BAD_FIELD, .path = "kind", .expected = "drain, run or settings"};
-    if (!planned->id || !kind || config_tree->n_calendar >= PLANS_MAX)
+    if (!planned->id || !kind)
         return ERROR_BAD_FIELD;
+    if (config_tree->n_calendar >= PLANS_MAX && !config_tree_planned(config_tree, planned->id)) {
+        *validation_error = (struct validation_error){
+            .error = ERROR_TOO_LARGE, .path = "calendar", .expected = "fewer entries in the calendar"};
+        return ERROR_TOO_LARGE;
+    }
     int drain = !strcmp(kind, "drain"), run = !strcmp(kind, "run"), settings = !strcmp(kind, "settings");
     if (!drain && !run && !settings)
         return ERROR_BAD_FIELD;
--- a/src/config_tree/config_tree.h
+++ b/src/config_tree/config_tree.h
@@ -48,6 +48,8 @@
     int64_t generation; /* rises with each op; not part of snapshots */
 };
 
+enum { PLANS_MAX = 2000 }; /* entries of the calendar */
+
 enum config_tree_op_kind {
     CONFIG_OP_REPLACE = 1,
     CONFIG_OP_BRANCH,
--- a/tests/unit/config_tree_test.cc
+++ b/tests/unit/config_tree_test.cc
@@ -32,6 +32,21 @@
         schema_free(&config_tree_result_schema, &result);
         return rc;
     }
+    // Plans that an executor is drained.
+    int plan(const std::string &id, int64_t at_ms)
+    {
+        config_tree_op op = {};
+        config_tree_result result = {};
+        planned entry = {};
+        entry.id = must_dup(id.c_str()), entry.kind = must_dup("drain"), entry.executor = must_dup("e1");
+        entry.at_ms = at_ms;
+        op.kind = CONFIG_OP_PLAN, op.requester = 1, op.req = ++req, op.expect = config.version, op.planned = &entry;
+        config_tree_fold(&config, &op, &result);
+        int rc = (int)result.error;
+        schema_free(&planned_schema, &entry);
+        schema_free(&config_tree_result_schema, &result);
+        return rc;
+    }
     settings at(const char *path)
     {
         settings effective;
@@ -62,6 +77,18 @@
     EXPECT_EQ(tree.at("root/a/q").lease_ms, 4000);
 }
 
+// Guards against an entry of a full calendar that cannot be replaced by a newer one of its name.
+TEST(ConfigTree, EntryOfAFullCalendarIsReplaced)
+{
+    Tree tree;
+    for (int64_t i = 0; i < PLANS_MAX; i++)
+        ASSERT_EQ(tree.plan("p" + std::to_string(i), 1000), ERROR_NONE);
+    EXPECT_EQ(tree.plan("one more", 1000), ERROR_TOO_LARGE);
+    EXPECT_EQ(tree.plan("p7", 2000), ERROR_NONE);
+    EXPECT_EQ(config_tree_planned(&tree.config, "p7")->at_ms, 2000);
+    EXPECT_EQ(tree.config.n_calendar, PLANS_MAX);
+}
+
 TEST(ConfigTree, RepeatedOpGetsItsFirstResult)
 {
     Tree tree;
