--- a/src/node/follow.c
+++ b/src/node/follow.c
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "node/node.h"
 
-enum { REPLY_TIMEOUT_MS = 400, RESEND_MS = 500 };
+enum { REPLY_TIMEOUT_MS = 400, RETRY_MS = 50, RESEND_MS = 500 };
 
 int admission_open(const struct node *node) { return world_ms(node->w) - node->confirmed_ms < ADMISSION_MS; }
 
@@ -93,7 +93,7 @@
     node->updates_request_to = 0;
     if (!updates->ok) {
         node->leaders[GROUP_CONTROL] = updates->leader != from ? updates->leader : 0;
-        node->updates_request_due_ms = world_ms(node->w) + 50;
+        node->updates_request_due_ms = world_ms(node->w) + RETRY_MS;
         return;
     }
     node->n_voters = 0;
@@ -101,9 +101,13 @@
         node->voters[node->n_voters++] = updates->voters[i];
     if (updates->jobs_leader)
         node->leaders[GROUP_JOBS] = updates->jobs_leader;
-    if (updates->snapshot.len && updates->snapshot_index > node->applied_index &&
-        !config_tree_restore(&node->config_tree, &updates->snapshot))
+    if (updates->snapshot.len && updates->snapshot_index > node->applied_index) {
+        if (config_tree_restore(&node->config_tree, &updates->snapshot)) {
+            node->updates_request_due_ms = world_ms(node->w) + RETRY_MS; /* entries after it cannot be applied */
+            return;
+        }
         node->applied_index = updates->snapshot_index;
+    }
     for (int64_t i = 0; i < updates->n; i++) {
         if (updates->entries[i].index <= node->applied_index)
             continue;
