--- a/src/proc/disk.c
+++ b/src/proc/disk.c
@@ -2,6 +2,7 @@
 #include <dirent.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -10,11 +11,14 @@
 #include "base/error.h"
 #include "proc/runtime.h"
 
+/* Longer than PATH_MAX and a name: a path that does not fit is refused by the system, not cut off to another one. */
+enum { PATH_BYTES = PATH_MAX + 128 };
+
 static struct runtime *real_of(struct world *world) { return (struct runtime *)world; }
 
 static const char *path_of(struct runtime *runtime, const char *name)
 {
-    static char paths[2][1200];
+    static char paths[2][PATH_BYTES];
     static int turn;
     char *path = paths[turn++ & 1];
     snprintf(path, sizeof paths[0], "%s/%s", runtime->folder, name);
@@ -46,9 +50,18 @@
     return fd;
 }
 
+/* Makes the folder if there is none. It may have been impossible when the process started. */
+static enum sagehitch_error make_folder(const struct runtime *runtime)
+{
+    struct stat st;
+    if (mkdir(runtime->folder, 0750) && errno != EEXIST)
+        return ERROR_DISK;
+    return stat(runtime->folder, &st) || !S_ISDIR(st.st_mode) ? ERROR_DISK : ERROR_NONE;
+}
+
 static enum sagehitch_error disk_list(struct world *world, void (*each)(void *arg, const char *name), void *arg)
 {
-    DIR *dir = opendir(real_of(world)->folder);
+    DIR *dir = make_folder(real_of(world)) ? NULL : opendir(real_of(world)->folder);
     struct dirent *entry;
     if (!dir)
         return ERROR_DISK;
@@ -125,11 +138,8 @@
 
 enum sagehitch_error disk_start(struct runtime *runtime, const char *folder)
 {
-    struct stat st;
     runtime->folder = must_dup(folder);
-    if (mkdir(folder, 0750) && errno != EEXIST)
-        return ERROR_DISK;
-    return stat(folder, &st) || !S_ISDIR(st.st_mode) ? ERROR_DISK : ERROR_NONE;
+    return make_folder(runtime);
 }
 
 void disk_end(struct runtime *runtime)
