--- a/tests/history/controllers.h
+++ b/tests/history/controllers.h
@@ -1,5 +1,5 @@
-// Real controllers of the platform as processes on loopback addresses: 127.0.0.1, 127.0.0.2 ... with ports alike,
-// each with its settings file, its log and perhaps a disk folder below one temporary directory.
+// Real controllers and agents of the platform as processes on loopback addresses: 127.0.0.1, 127.0.0.2 ... with ports
+// alike, each with its settings file, its log and perhaps a disk folder below one temporary directory.
 // They are started, killed, frozen and restarted by id only, from one thread; that thread's end is their end too.
 #pragma once
 #include <cctype>
@@ -25,12 +25,18 @@
 
 namespace fs = std::filesystem;
 
-// One machine's controller. pid 0: not running. removed: for good; its address isn't used again.
+// The limits of a machine, as its settings file states them.
+struct MachineLimits {
+    int64_t memory_mb, descriptors;
+};
+
+// One machine's controller, or its agent. pid 0: not running. removed: for good; its address isn't used again.
 struct Controller {
     int number; // 127.0.0.number
     bool disk;
     pid_t pid = 0;
-    bool frozen = false, removed = false;
+    bool frozen = false, removed = false, agent = false;
+    MachineLimits limits = {260, 4100};
     std::string address() const { return "127.0.0." + std::to_string(number); }
 };
 
@@ -38,8 +44,8 @@
 {
     std::string binary;
     fs::path folder;
-    enum { FRONTEND = 6 };
-    int port; // control plane; the inner ports follow, then the one for callers
+    enum { FRONTEND = 6, READINESS = 7 };
+    int port; // control plane; the inner ports follow, then those for callers and for readiness
     std::vector<int> seeds;
 
     fs::path file(const Controller &c, const std::string &what) const { return folder / (c.address() + "." + what); }
@@ -49,13 +55,14 @@
         std::string own = c.address(), text;
         auto line = [&](const std::string &name, const std::string &value) { text += name + ": " + value + "\n"; };
         line("nodeName", "\"node-" + std::to_string(c.number) + "\"");
-        line("role", "\"controller\"");
+        line("role", c.agent ? "\"agent\"" : "\"controller\"");
         line("ipAddress", "\"" + own + "\"");
         line("zone", "\"north\"");
         line("region", "\"coast\"");
         line("zones", "\n  north: \"coast\"");
-        line("bindAddresses", "\n  controlPlane: \"" + own + ":" + std::to_string(port) + "\"\n  frontend: \"" + own +
-                                  ":" + std::to_string(port + FRONTEND) + "\"");
+        auto bind = [&](int at) { return "\"" + own + ":" + std::to_string(at) + "\""; };
+        std::string callers = "\n  frontend: " + bind(port + FRONTEND) + "\n  readiness: " + bind(port + READINESS);
+        line("bindAddresses", "\n  controlPlane: " + bind(port) + (c.agent ? "" : callers));
         line("internalPortRange", "\n  - " + std::to_string(port + 1) + "\n  - " + std::to_string(port + 5));
         std::string list;
         for (int number : seeds)
@@ -63,7 +70,8 @@
         line("seedNodes", list);
         line("initialStart", initial ? "true" : "false");
         line("countsAsLoss", "true");
-        line("limits", "\n  cpuShare: 1.0\n  memoryMb: 260\n  maxFileDescriptors: 4100");
+        line("limits", "\n  cpuShare: 1.0\n  memoryMb: " + std::to_string(c.limits.memory_mb) +
+                           "\n  maxFileDescriptors: " + std::to_string(c.limits.descriptors));
         line("dataDirectory", c.disk ? "\"" + data(c).string() + "\"" : "null");
         line("heartbeatIntervalMs", "1500");
         line("faultTolerance", "\n  machines: 1\n  zones: 0");
@@ -71,6 +79,10 @@
                        "\n  stopTimeoutMs: 400\n  gangTimeoutMs: 3000\n  cancel_ms: 3000\n  early_ms: 250"
                        "\n  status_s: 120\n  spreadFactor: 1.5\n  checkpointIntervalS: 2\n  restoreMs: 600");
         line("commands", "\"invocation\"");
+        if (c.agent) {
+            line("app", bind(port + FRONTEND)); // no executor answers there
+            line("service", "\"s\"");
+        }
         return text;
     }
 
@@ -89,7 +101,7 @@
     static bool all_free(int from)
     {
         for (int number = 1; number <= 16; number++)
-            for (int p = from; p <= from + FRONTEND; p++)
+            for (int p = from; p <= from + READINESS; p++)
                 if (!free_at(number, p))
                     return false;
         return true;
@@ -141,6 +153,10 @@
         return "http://" + c.address() + ":" + std::to_string(port) + "/sagehitch/configuration";
     }
 
+    int operators_port() const { return port; }
+    int callers_port() const { return port + FRONTEND; }
+    int readiness_port() const { return port + READINESS; }
+
     // Where callers reach the queue of path prefix /jobs/.
     std::string jobs_url(const Controller &c) const
     {
@@ -154,7 +170,7 @@
             fs::create_directories(data(c));
         std::string variable = "SAGEHITCH_CONFIG=" + file(c, "yaml").string();
         std::string log = file(c, "log").string();
-        char *arguments[] = {binary.data(), (char *)"platform", (char *)"controller", nullptr};
+        char *arguments[] = {binary.data(), (char *)"platform", (char *)(c.agent ? "agent" : "controller"), nullptr};
         std::vector<char *> variables;
         for (char **at = environ; *at; at++)
             variables.push_back(*at);
@@ -254,19 +270,28 @@
         }
         return "";
     }
-    // Resident KiB and open descriptors of a running one.
-    std::pair<int64_t, int64_t> size(const Controller &c) const
+    // A figure of /proc/PID/status in KiB, such as "VmRSS:"; 0: the process is gone.
+    static int64_t status_kib(const Controller &c, const std::string &name)
     {
-        std::string proc = "/proc/" + std::to_string(c.pid);
-        std::ifstream status(proc + "/status");
-        int64_t kib = 0, descriptors = 0;
+        std::ifstream status("/proc/" + std::to_string(c.pid) + "/status");
         for (std::string line; std::getline(status, line);)
-            if (!line.compare(0, 6, "VmRSS:"))
-                kib = atoll(line.c_str() + 6);
-        for ([[maybe_unused]] const auto &entry : fs::directory_iterator(proc + "/fd"))
-            descriptors++;
-        return {kib, descriptors};
+            if (!line.compare(0, name.size(), name))
+                return atoll(line.c_str() + name.size());
+        return 0;
+    }
+    static int64_t descriptors(const Controller &c)
+    {
+        std::error_code gone;
+        int64_t n = 0;
+        for ([[maybe_unused]] const auto &entry :
+             fs::directory_iterator("/proc/" + std::to_string(c.pid) + "/fd", gone))
+            n++;
+        return n;
     }
+    // Resident KiB and open descriptors of a running one.
+    static std::pair<int64_t, int64_t> size(const Controller &c) { return {status_kib(c, "VmRSS:"), descriptors(c)}; }
+    // The most KiB that were resident since the start of a running one.
+    static int64_t peak_kib(const Controller &c) { return status_kib(c, "VmHWM:"); }
 };
 
 } // namespace history
