A frame larger than the queue to a peer is sent, so that the log does not stop at it

Callers saw no answer any more, for good, after one configuration of 8 MiB, a legal size, had come to the leader; at another controller it was answered with 504 and never taken.

Cause: a frame that exceeds out_max (8 MiB on the platform) was dropped even if nothing else was queued, each time it was sent. An entry of the log larger than that reaches no follower, and no entry after it is ever committed. Ruled out: memory (the leader peaked at 54 MB of 260) and the receiver, which takes frames of up to 64 MiB.

Now such a frame is queued if the queue is empty: what waits for one peer is out_max or one frame.

Measured: Frames.a_frame_larger_than_the_queue_is_sent_if_nothing_else_waits fails without the change of net.c (nothing is received in 10 s) and passes with it.

--- a/src/proc/net.c
+++ b/src/proc/net.c
@@ -150,7 +150,8 @@
     struct out_connection *out = find_out_connection(runtime, to);
     if (out->fd < 0 && world_ms(world) >= out->reconnect_ms)
         out_connect(out);
-    if (out->fd < 0 || out->queued_bytes + frame->bytes.len > runtime->out_max)
+    /* a frame larger than out_max is sent when nothing else waits: the log stops at an entry that is never sent */
+    if (out->fd < 0 || (out->queued_bytes && out->queued_bytes + frame->bytes.len > runtime->out_max))
         return;
     int idle = !out->n_queue;
     if (out->first > 1000) {
--- a/src/proc/runtime.h
+++ b/src/proc/runtime.h
@@ -51,7 +51,8 @@
 };
 
 /* A process. timer_ms (timer interval), leave_ms (time limit of the shutdown) and out_max (maximum bytes queued to one
- * peer) may be changed between runtime_start() and runtime_open(). */
+ * peer; a single larger frame is queued if nothing else is) may be changed between runtime_start() and runtime_open().
+ */
 struct runtime {
     struct world base; /* must be first: a struct world is cast to its struct runtime */
     struct ev_loop *loop;
--- a/tests/proc/frames_test.cc
+++ b/tests/proc/frames_test.cc
@@ -350,6 +350,24 @@
 } // namespace
 
 // Each connection carries whole frames in order from its first byte, and no frame is sent on two connections.
+// A frame that is never sent stops what waits for it, such as the log at one of its entries.
+TEST(Frames, a_frame_larger_than_the_queue_is_sent_if_nothing_else_waits)
+{
+    Receiver to;
+    Rig from;
+    from.runtime.out_max = 1 << 20;
+    std::string large = frame_of(1, 3 << 20);
+    struct blob *frame = blob_new();
+    bytes_add(&frame->bytes, large.data(), (int64_t)large.size());
+    net_send(&from.runtime.base, to.runtime.base.self, frame, 0);
+    net_send(&from.runtime.base, to.runtime.base.self, frame, 0); // dropped: the queue is full
+    blob_drop(frame);
+    EXPECT_TRUE(from.until([&] { return to.received.size() == 1; }, 10000, [&] { to.turns(1); }));
+    to.turns(200);
+    ASSERT_EQ(to.received.size(), 1u);
+    EXPECT_TRUE(to.received[0] == large);
+}
+
 TEST(Frames, each_connection_begins_with_a_whole_frame_and_no_frame_is_sent_twice)
 {
     SenderAndPeer pair;
