Bodies of all clients together are bounded by the memory of the machine

Users saw a process end for lack of memory under clients that send many large bodies at once, whole, short of their end or in chunks, or bodies far over the limit.

Cause: the server kept up to 8 MiB for each of 3,000 connections, no sum was kept, and memoryMb of the settings was read and not used. A body over the limit stayed in memory, and was read on, until its end or for 60 s. A body stayed in memory until its request was answered. Ruled out: buffers of the HTTP library (32 KiB a connection) and what is kept of a request that was read (12 MB before and after 24 whole bodies).

Change: client_limits.c derives from memoryMb a budget for what requests hold: a pool for large bodies of each address, so that callers and operators do not use each other's share, and one for small ones. A body takes its place at its head, or as it grows; if there is none, requests that hardly make progress give way (http_connections.c), else it is refused with 503 and Retry-After, before it is received where the library can do that. A body over the limit is refused at its head, or is freed once it passes the limit and its connection is closed after twice the limit. The buffer of a body is exact or doubled, and freed once the request was read. Listeners have a file of their own; keepers and nodes use the same server with the limits of 256 MB and 4,096 descriptors.

A single body of 8 MiB is still served.

--- a/src/base/bytes.c
+++ b/src/base/bytes.c
@@ -83,6 +83,14 @@
     to->at[to->len] = 0;
 }
 
+void bytes_reserve(struct bytes *bytes, int64_t cap)
+{
+    if (cap + 1 <= bytes->cap)
+        return;
+    bytes->cap = cap + 1;
+    bytes->at = must_grow(bytes->at, (size_t)bytes->cap);
+}
+
 void bytes_printf(struct bytes *to, const char *format, ...)
 {
     va_list args;
--- a/src/base/bytes.h
+++ b/src/base/bytes.h
@@ -39,6 +39,8 @@
 
 /* Appends len bytes; from must not point into to. */
 void bytes_add(struct bytes *to, const void *from, int64_t len);
+/* Makes room for cap bytes in all, and the 0 byte after them, so that adding up to that many allocates nothing. */
+void bytes_reserve(struct bytes *bytes, int64_t cap);
 /* Appends the formatted text. */
 void bytes_printf(struct bytes *to, const char *format, ...) __attribute__((format(printf, 2, 3)));
 /* Frees the memory and empties the string. */
--- a/src/proc/http_server.c
+++ b/src/proc/http_server.c
@@ -1,37 +1,26 @@
 /* HTTP server: libmicrohttpd, driven by the libev loop through its epoll descriptor. A request without an immediate
- * response is suspended, and resumed when the response is given. */
-#include <arpa/inet.h>
-#include <netinet/tcp.h>
+ * response is suspended, and resumed when the response is given. What clients may make the process hold is limited
+ * (client_limits.h); a request that exceeds a limit is refused, and its body is not kept. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <strings.h>
 
 #include "base/error.h"
 #include "base/events.h"
 #include "controller/codec.h"
-#include "proc/runtime.h"
+#include "proc/http_server_state.h"
 
 enum {
-    BODY_MAX = 8 << 20,
     BODY_TIMEOUT_MS = 60000, /* from the head of a request to the end of its body */
-    CONNECTION_MEMORY_BYTES = 32 << 10,
-    CONNECTIONS_MAX = 3000,
     IDLE_TIMEOUT_S = 60,
-    BACKLOG = 1024
+    FIRST_BODY_BYTES = 4 << 10,   /* allocated for a body whose size is not announced; doubled as it grows */
+    DISCARDED_BODIES_MAX = 2,     /* a connection is closed after a body of so many times the largest size */
+    DROPPED_NOTE_MS = 1000,       /* between two events about dropped requests */
+    CLIENT_CONNECTIONS_MAX = 4096 /* of the library; http_connection_make_room() keeps within the limits */
 };
 
-/* A request. head_ms: when its head was received. Invariant: slot is its cell in runtime->requests from when the whole
- * body was received until the connection has completed the request. */
-struct request {
-    struct runtime *runtime;
-    struct MHD_Connection *connection;
-    char *path, *response_body;
-    struct bytes body;
-    int64_t slot, retry_ms, head_ms;
-    int status, too_large, dispatched, suspended;
-};
+static const struct machine_limits machine_limits_default = {.memory_bytes = 256 << 20, .descriptors = 4096};
 
 struct request_cell {
     struct request *request;
@@ -67,6 +56,8 @@
     http_server_run(timer->data);
 }
 
+/* --- responses --------------------------------------------------------------- */
+
 static enum MHD_Result queue_response(struct request *request)
 {
     struct MHD_Response *response =
@@ -79,8 +70,9 @@
     }
     if (request->runtime->role.on_request && request->runtime->leaving_ms)
         MHD_add_response_header(response, "Connection", "close");
-    enum MHD_Result result = MHD_queue_response(request->connection, (unsigned)request->status, response);
+    enum MHD_Result result = MHD_queue_response(request->mhd, (unsigned)request->status, response);
     MHD_destroy_response(response);
+    http_connection_enter(request->runtime, request->connection, CONNECTION_SENDING);
     return result;
 }
 
@@ -94,9 +86,10 @@
     request->status = status;
     request->retry_ms = retry_ms;
     request->response_body = must_dup(body ? body : "");
+    client_budget_release(&runtime->budget, &request->body_charge);
     if (request->suspended) {
         request->suspended = 0;
-        MHD_resume_connection(request->connection);
+        MHD_resume_connection(request->mhd);
         runtime->responses_pending = 1;
         ev_timer_stop(runtime->loop, &runtime->daemon_timer);
         ev_timer_set(&runtime->daemon_timer, 0., 0.);
@@ -104,6 +97,101 @@
     }
 }
 
+/* --- bodies ------------------------------------------------------------------ */
+
+void http_request_note_dropped(const struct request *request, const char *why, int64_t bytes)
+{
+    struct runtime *runtime = request->runtime;
+    int64_t now_ms = world_ms(&runtime->base);
+    runtime->n_dropped++;
+    if (runtime->dropped_note_ms && now_ms - runtime->dropped_note_ms < DROPPED_NOTE_MS)
+        return;
+    world_note(&runtime->base, EV_REQUEST_DROPPED, "%s path=%.100s bytes=%lld dropped=%lld", why, request->path,
+               (long long)bytes, (long long)runtime->n_dropped);
+    runtime->n_dropped = 0;
+    runtime->dropped_note_ms = now_ms;
+}
+
+static void free_body(struct request *request)
+{
+    bytes_free(&request->body);
+    client_budget_release(&request->runtime->budget, &request->body_charge);
+}
+
+void http_request_give_up(struct request *request)
+{
+    http_request_note_dropped(request, "slow", request->received_bytes);
+    request->refusal = ERROR_UNAVAILABLE;
+    free_body(request);
+}
+
+/* From now on the body is discarded, and the response will be this error. */
+static void refuse(struct request *request, enum sagehitch_error error, const char *why, int64_t bytes)
+{
+    http_request_note_dropped(request, why, bytes);
+    request->refusal = error;
+    free_body(request);
+}
+
+static void answer_refusal(struct request *request)
+{
+    struct world *world = &request->runtime->base;
+    int64_t body_bytes = request->runtime->budget.limits.body_bytes[request->connection->entry];
+    if (request->refusal == ERROR_TOO_LARGE)
+        world_answer(world, request->slot, ERROR_TOO_LARGE, "the body is over %lld bytes", (long long)body_bytes);
+    else
+        world_answer(world, request->slot, request->refusal, "too much is being received; retry later");
+}
+
+/* Makes room for a body of this size. Refuses the request if it is too large, or if there is none. */
+static void body_reserve(struct request *request, int64_t bytes)
+{
+    struct runtime *runtime = request->runtime;
+    int64_t entry = request->connection->entry;
+    if (bytes > runtime->budget.limits.body_bytes[entry])
+        refuse(request, ERROR_TOO_LARGE, "large", bytes);
+    else if (!http_connection_charge(runtime, &request->body_charge, client_charge_of_body(entry, bytes)))
+        refuse(request, ERROR_UNAVAILABLE, "overload", bytes);
+}
+
+/* Makes room for a body whose size was not announced, as much again as there was before. */
+static void body_grow(struct request *request)
+{
+    int64_t max = request->runtime->budget.limits.body_bytes[request->connection->entry];
+    int64_t cap = request->body.cap ? (request->body.cap - 1) * 2 : FIRST_BODY_BYTES;
+    while (cap < request->received_bytes)
+        cap *= 2;
+    if (cap > max && request->received_bytes <= max)
+        cap = max;
+    body_reserve(request, cap);
+    if (!request->refusal)
+        bytes_reserve(&request->body, cap);
+}
+
+/* Receives a part of the body. MHD_NO closes the connection. */
+static enum MHD_Result body_add(struct request *request, const char *data, int64_t size)
+{
+    struct runtime *runtime = request->runtime;
+    int64_t max = runtime->budget.limits.body_bytes[request->connection->entry];
+    if (world_ms(&runtime->base) - request->head_ms > BODY_TIMEOUT_MS) {
+        http_request_note_dropped(request, "slow", request->received_bytes);
+        return MHD_NO;
+    }
+    request->received_bytes += size;
+    http_connection_progress(runtime, request->connection, size);
+    if (!request->refusal && request->announced_bytes >= 0)
+        bytes_reserve(&request->body, request->announced_bytes);
+    else if (!request->refusal && request->received_bytes >= request->body.cap)
+        body_grow(request);
+    if (!request->refusal)
+        bytes_add(&request->body, data, size);
+    else if (request->received_bytes > DISCARDED_BODIES_MAX * max)
+        return MHD_NO;
+    return MHD_YES;
+}
+
+/* --- requests ---------------------------------------------------------------- */
+
 static const char *header_of(const struct http_request *http_request, const char *name)
 {
     return MHD_lookup_connection_value(http_request->arg, MHD_HEADER_KIND, name);
@@ -118,100 +206,143 @@
                                        request->body.len);
         return;
     }
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(request->connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    const struct http_listener *listener = info->socket_context;
-    struct http_request http_request = {.entry = listener->entry,
+    struct http_request http_request = {.entry = request->connection->entry,
                                         .method = method,
                                         .path = request->path,
                                         .body = body,
                                         .len = request->body.len,
                                         .header = header_of,
-                                        .arg = request->connection};
+                                        .arg = request->mhd};
     runtime->role.on_request(runtime->role.arg, request->slot, &http_request);
 }
 
-/* Appends a part of the body. MHD_NO closes the connection. */
-static enum MHD_Result body_add(struct request *request, const char *data, size_t size)
+/* The size of the body according to the head; -1: it is not announced. */
+static int64_t announced_bytes(struct MHD_Connection *mhd)
 {
-    struct world *world = &request->runtime->base;
-    if (world_ms(world) - request->head_ms > BODY_TIMEOUT_MS) {
-        world_note(world, EV_REQUEST_DROPPED, "slow path=%.100s bytes=%lld", request->path,
-                   (long long)request->body.len);
-        return MHD_NO;
-    }
-    if (request->body.len + (int64_t)size <= BODY_MAX) {
-        bytes_add(&request->body, data, (int64_t)size);
+    const char *coding = MHD_lookup_connection_value(mhd, MHD_HEADER_KIND, "Transfer-Encoding");
+    const char *length = MHD_lookup_connection_value(mhd, MHD_HEADER_KIND, "Content-Length");
+    if (coding && *coding)
+        return -1;
+    return length ? text_to_int64(length) : 0;
+}
+
+/* Whether a request of this method may be answered before its body was received: the library does that for these. */
+static int may_answer_early(const char *method) { return !strcmp(method, "POST") || !strcmp(method, "PUT"); }
+
+/* Handles the head of a request: one that exceeds a limit is refused before its body is received. */
+static enum MHD_Result request_head(struct request *request, struct MHD_Connection *mhd, const char *method)
+{
+    struct runtime *runtime = request->runtime;
+    request->mhd = mhd;
+    request->head_ms = world_ms(&runtime->base);
+    request->announced_bytes = announced_bytes(mhd);
+    request->slot = slab_take(&runtime->requests, sizeof(struct request_cell));
+    ((struct request_cell *)slab_at(&runtime->requests, request->slot))->request = request;
+    http_connection_enter(runtime, request->connection, CONNECTION_RECEIVING);
+    if (request->announced_bytes > 0)
+        body_reserve(request, request->announced_bytes);
+    if (!request->refusal || !may_answer_early(method))
         return MHD_YES;
-    }
-    if (!request->too_large)
-        world_note(world, EV_REQUEST_DROPPED, "large path=%.100s most=%d", request->path, BODY_MAX);
-    request->too_large = 1;
-    return MHD_YES;
+    request->dispatched = 1;
+    answer_refusal(request);
+    return queue_response(request);
+}
+
+/* Handles a request whose body is complete. */
+static void request_complete(struct request *request, const char *method)
+{
+    struct runtime *runtime = request->runtime;
+    request->dispatched = 1;
+    http_connection_enter(runtime, request->connection, CONNECTION_SERVED);
+    if (runtime->closing)
+        world_answer(&runtime->base, request->slot, ERROR_UNAVAILABLE, "this process is stopping");
+    else if (request->refusal)
+        answer_refusal(request);
+    else
+        request_dispatch(request, method);
+    bytes_free(&request->body);
+    if (request->connection->entry != ENTRY_OPERATORS) /* their requests go on to the leader as long as they are */
+        client_budget_release(&runtime->budget, &request->body_charge);
 }
 
-static enum MHD_Result handle(void *arg, struct MHD_Connection *connection, const char *url, const char *method,
+static enum MHD_Result handle(void *arg, struct MHD_Connection *mhd, const char *url, const char *method,
                               const char *version, const char *data, size_t *size, void **cls)
 {
-    struct runtime *runtime = arg;
     struct request *request = *cls;
-    (void)url, (void)version;
-    if (!request)
+    (void)arg, (void)url, (void)version;
+    if (!request || !request->connection)
         return MHD_NO;
-    if (!request->connection) {
-        request->connection = connection;
-        request->head_ms = world_ms(&runtime->base);
-        return MHD_YES;
-    }
+    if (!request->mhd)
+        return request_head(request, mhd, method);
     if (*size) {
-        enum MHD_Result result = body_add(request, data, *size);
+        enum MHD_Result result = body_add(request, data, (int64_t)*size);
         *size = 0;
         return result;
     }
+    if (!request->dispatched)
+        request_complete(request, method);
     if (request->response_body)
         return queue_response(request);
-    if (request->dispatched)
-        return MHD_YES;
-    request->dispatched = 1;
-    request->slot = slab_take(&runtime->requests, sizeof(struct request_cell));
-    ((struct request_cell *)slab_at(&runtime->requests, request->slot))->request = request;
-    if (runtime->closing)
-        world_answer(&runtime->base, request->slot, ERROR_UNAVAILABLE, "this process is stopping");
-    else if (request->too_large)
-        world_answer(&runtime->base, request->slot, ERROR_TOO_LARGE, "the body is over %d bytes", BODY_MAX);
-    else
-        request_dispatch(request, method);
-    if (request->response_body)
-        return queue_response(request);
-    request->suspended = 1;
-    MHD_suspend_connection(connection);
+    if (!request->suspended) {
+        request->suspended = 1;
+        MHD_suspend_connection(mhd);
+    }
     return MHD_YES;
 }
 
-static void *request_begin(void *arg, const char *uri, struct MHD_Connection *connection)
+/* --- connections ------------------------------------------------------------- */
+
+static struct http_connection *connection_of(struct MHD_Connection *mhd)
+{
+    return MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
+static void connection_event(void *arg, struct MHD_Connection *mhd, void **context,
+                             enum MHD_ConnectionNotificationCode code)
+{
+    struct runtime *runtime = arg;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        int fd = MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        *context = http_connection_open(runtime, runtime->entry, fd);
+    } else if (*context) {
+        http_connection_close(runtime, *context);
+        *context = NULL;
+    }
+}
+
+static void *request_begin(void *arg, const char *uri, struct MHD_Connection *mhd)
 {
     struct request *request = must_alloc(sizeof *request);
-    (void)connection;
     request->runtime = arg;
     request->path = must_dup(uri);
+    request->connection = connection_of(mhd);
+    if (request->connection)
+        request->connection->request = request;
     return request;
 }
 
-static void request_completed(void *arg, struct MHD_Connection *connection, void **cls,
-                              enum MHD_RequestTerminationCode code)
+static void request_completed(void *arg, struct MHD_Connection *mhd, void **cls, enum MHD_RequestTerminationCode code)
 {
     struct request *request = *cls;
-    (void)arg, (void)connection, (void)code;
+    (void)arg, (void)mhd, (void)code;
     if (!request)
         return;
-    slab_free(&request->runtime->requests, request->slot);
+    struct runtime *runtime = request->runtime;
+    free_body(request);
+    client_budget_release(&runtime->budget, &request->response_charge);
+    slab_free(&runtime->requests, request->slot);
+    if (request->connection) {
+        request->connection->request = NULL;
+        http_connection_enter(runtime, request->connection, CONNECTION_WAITING);
+    }
     free(request->path);
     free(request->response_body);
-    bytes_free(&request->body);
     free(request);
     *cls = NULL;
 }
 
+/* --- start and end ----------------------------------------------------------- */
+
 static enum sagehitch_error watch_daemon(struct runtime *runtime)
 {
     if (!runtime->daemon)
@@ -226,94 +357,38 @@
     return ERROR_NONE;
 }
 
-static struct sockaddr_in address(uint64_t addr)
-{
-    struct sockaddr_in socket_addr = {.sin_family = AF_INET, .sin_port = htons((uint16_t)(addr & 0xffff))};
-    socket_addr.sin_addr.s_addr = htonl((uint32_t)(addr >> 16));
-    return socket_addr;
-}
-
-int http_server_start(struct runtime *runtime)
-{
-    struct sockaddr_in socket_addr = address(runtime->base.http_addr);
-    runtime->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, runtime,
-                                       MHD_OPTION_SOCK_ADDR, &socket_addr, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-                                       MHD_OPTION_URI_LOG_CALLBACK, request_begin, runtime, MHD_OPTION_NOTIFY_COMPLETED,
-                                       request_completed, runtime, MHD_OPTION_CONNECTION_TIMEOUT, 60u, MHD_OPTION_END);
-    return watch_daemon(runtime);
-}
-
-/* --- one server with several listeners ------------------------------------------ */
-
-static void connection_event(void *arg, struct MHD_Connection *connection, void **context,
-                             enum MHD_ConnectionNotificationCode code)
-{
-    struct runtime *runtime = arg;
-    (void)connection;
-    if (code == MHD_CONNECTION_NOTIFY_STARTED)
-        *context = &runtime->listeners[runtime->entry];
-}
-
-static void listener_event(struct ev_loop *loop, ev_io *io, int events)
-{
-    struct http_listener *listener = io->data;
-    struct runtime *runtime = listener->runtime;
-    struct sockaddr_in from;
-    socklen_t len = sizeof from;
-    int fd, on = 1, accepted = 0;
-    (void)loop, (void)events;
-    while ((fd = accept4(listener->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-        runtime->entry = listener - runtime->listeners;
-        MHD_add_connection(runtime->daemon, fd, (struct sockaddr *)&from, len); /* closes fd if it fails */
-        len = sizeof from;
-        accepted = 1;
-    }
-    if (accepted)
-        http_server_run(runtime);
-}
-
-static enum sagehitch_error listen_at(struct runtime *runtime, int64_t entry, uint64_t addr)
+void http_server_limit(struct runtime *runtime, const struct machine_limits *machine)
 {
-    struct http_listener *listener = &runtime->listeners[runtime->n_listeners];
-    struct sockaddr_in socket_addr = address(addr);
-    int on = 1;
-    *listener = (struct http_listener){.runtime = runtime, .entry = entry};
-    listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (listener->fd < 0)
-        return ERROR_BAD_SETTING;
-    runtime->n_listeners++;
-    setsockopt(listener->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    if (bind(listener->fd, (struct sockaddr *)&socket_addr, sizeof socket_addr) || listen(listener->fd, BACKLOG)) {
-        fprintf(stderr, "sagehitch: cannot listen on %s\n", addr_text(addr));
-        return ERROR_BAD_SETTING;
-    }
-    ev_io_init(&listener->io, listener_event, listener->fd, EV_READ);
-    listener->io.data = listener;
-    ev_io_start(runtime->loop, &listener->io);
-    return ERROR_NONE;
+    int64_t served[CLIENT_ENTRIES] = {0};
+    for (int64_t i = 0; i < runtime->n_listeners; i++)
+        served[runtime->listeners[i].entry] = 1;
+    client_limits_derive(&runtime->budget.limits, machine, served);
 }
 
 enum sagehitch_error http_server_start_listeners(struct runtime *runtime, const int64_t addrs[LISTENERS_MAX])
 {
-    _Static_assert((int)LISTENERS_MAX == (int)ENTRY_COUNT, "a listener for each entry");
     runtime->daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_NO_LISTEN_SOCKET | MHD_USE_SUPPRESS_DATE_NO_CLOCK, 0, NULL,
         NULL, handle, runtime, MHD_OPTION_URI_LOG_CALLBACK, request_begin, runtime, MHD_OPTION_NOTIFY_COMPLETED,
         request_completed, runtime, MHD_OPTION_NOTIFY_CONNECTION, connection_event, runtime,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_LIMIT,
-        (unsigned)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S, MHD_OPTION_END);
+        (unsigned)CLIENT_CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S, MHD_OPTION_END);
     enum sagehitch_error rc = watch_daemon(runtime);
-    for (int64_t entry = 0; !rc && entry < ENTRY_COUNT; entry++)
-        if (addrs[entry])
-            rc = listen_at(runtime, entry, (uint64_t)addrs[entry]);
+    if (!rc)
+        rc = http_listeners_open(runtime, addrs);
+    http_server_limit(runtime, &machine_limits_default);
     return rc;
 }
 
+int http_server_start(struct runtime *runtime)
+{
+    const int64_t addrs[LISTENERS_MAX] = {[ENTRY_CALLERS] = (int64_t)runtime->base.http_addr};
+    return http_server_start_listeners(runtime, addrs);
+}
+
 void http_server_end(struct runtime *runtime)
 {
-    for (int64_t i = 0; i < runtime->n_listeners; i++)
-        close(runtime->listeners[i].fd);
+    http_listeners_close(runtime);
     if (!runtime->daemon)
         return;
     runtime->closing = 1; /* the role has ended: later requests must not reach it */
--- a/src/proc/runtime.h
+++ b/src/proc/runtime.h
@@ -10,6 +10,7 @@
 #include "base/error.h"
 #include "base/slab.h"
 #include "base/world.h"
+#include "proc/client_limits.h"
 #include "proc/local.h"
 
 struct runtime;
@@ -36,18 +37,21 @@
 
 struct out_connection;
 struct in_connection;
+struct http_connection;
 /* A file kept open for appending. */
 struct disk_file {
     char name[64];
     int fd;
 };
 
-/* A listening socket. entry: enum entry of controller/codec.h, which its requests carry. */
+/* A listening socket. entry: enum entry of controller/codec.h, which its requests carry. pause: runs while no further
+ * connection is accepted. */
 struct http_listener {
     struct runtime *runtime;
     int64_t entry;
     int fd;
     ev_io io;
+    ev_timer pause;
 };
 
 /* A process. timer_ms (timer interval), leave_ms (time limit of the shutdown) and out_max (maximum bytes queued to one
@@ -74,6 +78,10 @@
     struct http_listener listeners[LISTENERS_MAX];
     int64_t n_listeners, entry; /* entry: of the connection that is being accepted */
     int closing;                /* requests get a 503 and are no longer passed to the role */
+    struct client_budget budget;
+    struct http_connection *connections; /* all that are open */
+    int64_t n_connections[LISTENERS_MAX], n_closing[LISTENERS_MAX];
+    int64_t n_dropped, dropped_note_ms; /* dropped requests since the last event of one, and the time of that event */
     /* HTTP client */
     CURLM *multi;
     ev_timer multi_timer;
@@ -97,8 +105,11 @@
 /* Opens the ports for frames (if frames) and one HTTP listener (if http), and starts the timer and the signal handlers.
  * Returns 0, or an error that was printed. */
 enum sagehitch_error runtime_open(struct runtime *runtime, int frames, int http);
-/* Opens the HTTP listeners at these addresses, by enum entry; 0: none. Returns 0 or an error. */
+/* Opens the HTTP listeners at these addresses, by enum entry; 0: none. Returns 0 or an error. Clients are limited
+ * according to machine_limits_default until http_server_limit() is called. */
 enum sagehitch_error http_server_start_listeners(struct runtime *runtime, const int64_t addrs[LISTENERS_MAX]);
+/* Limits what clients may make the process hold, from now on. */
+void http_server_limit(struct runtime *runtime, const struct machine_limits *machine);
 /* Runs the loop until, after SIGTERM or SIGINT, the role has left, leave_ms have passed, or a second signal arrives. */
 void runtime_run(struct runtime *runtime);
 /* Closes everything that was opened. */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -115,6 +115,39 @@
     Every, Crowds, testing::Combine(testing::Values(CALLERS, OPERATORS, READINESS, AGENT), testing::ValuesIn(SHAPES)),
     [](const auto &info) { return std::string(TARGET_NAMES[std::get<0>(info.param)]) + std::get<1>(info.param).name; });
 
+// Machines as deployed, and a crowd whose bodies are of the largest size that these serve: most connections hold
+// memory until they have to give way. A configuration of 1 MiB gets through beside them.
+class DeployedCrowds : public testing::TestWithParam<std::tuple<Target, Shape>>
+{
+};
+TEST_P(DeployedCrowds, LeaveTheProcessesWithinTheirLimits)
+{
+    auto [target, shape] = GetParam();
+    Watched watched(DEPLOYED_CONTROLLER_LIMITS, DEPLOYED_AGENT_LIMITS);
+    Fleet &fleet = watched.fleet;
+    ASSERT_TRUE(fleet.start());
+    const Controller &attacked = fleet.attacked(target);
+    Crowd crowd;
+    Target of = target;
+    crowd.open(attacked.address(), fleet.port(target), shape, padded_body(target, shape.body),
+               [of](int i) { return head_for(of, i, 1000000); });
+    crowd.run(shape.piece, [&] { watched.look(); });
+    watched.look();
+    printf("%s\n", crowd.summary().c_str());
+    EXPECT_TRUE(fleet.ordinary(target, attacked)) << "no answer beside the crowd";
+    bool configured = target == AGENT || fleet.configure(attacked, ",\"pad\":\"" + std::string(MIB, 'x') + "\"");
+    EXPECT_TRUE(configured) << "no answer to a large configuration beside the crowd";
+    watched.look();
+    printf("%s\n", fleet.sizes().c_str());
+    EXPECT_EQ(watched.problems, "");
+}
+INSTANTIATE_TEST_SUITE_P(
+    Every, DeployedCrowds,
+    testing::Combine(testing::Values(CALLERS, OPERATORS, AGENT),
+                     testing::Values(Shape{"ShortOfTheirEnd", 60, BODY_MAX, CONTENT_LENGTH, 0, MIB, 6},
+                                     Shape{"LargeChunks", 60, BODY_MAX, CHUNKED, 256 << 10, MIB, 6})),
+    [](const auto &info) { return std::string(TARGET_NAMES[std::get<0>(info.param)]) + std::get<1>(info.param).name; });
+
 // A job that requires a label as long as a body allows.
 static std::string job_of_one_long_text()
 {
