Connections of clients are bounded by descriptors and memory; the one that waits longest gives way

A crowd that opens connections and sends half a head took every place: 711 to 719 of the 200 descriptors that are left for sockets, at each address.

Cause: the server took up to 3,000 connections whatever maxFileDescriptors said, and kept one that sends nothing for 60 s after its last byte.

Change: half of the descriptors, and an eighth of the memory at 32 KiB each, is for connections of clients, shared among the addresses (callers 6, operators 3, readiness 1). At the limit a new one is accepted if one that has waited for its head for 100 ms, or hardly makes progress, can be ended; else it waits in the kernel's queue and the listener pauses for 50 ms, as it does without descriptors. A machine of 260 MB and 4,100 descriptors takes 1,040 connections.

--- a/src/proc/http_listeners.c
+++ b/src/proc/http_listeners.c
@@ -43,6 +43,10 @@
     struct sockaddr_in from;
     socklen_t len = sizeof from;
     int on = 1;
+    if (!http_connection_make_room(runtime, listener->entry)) {
+        pause_begin(listener);
+        return -1;
+    }
     int fd = accept4(listener->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
         if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
