A body that would take too much memory once it is parsed is refused

Users saw one body of legal size, of nothing but small values, take 383 MB; 8 MiB of empty objects take 654 MB in a machine of 260, and of 128 beside an executor.

Cause: the parser builds a tree of all values, most of which nobody reads, and only the length of the text was limited. Ruled out: what is kept after reading; the peak is reached in json_loadb().

Change: json_memory_estimate() counts punctuation outside strings and gives an upper bound of what jansson allocates, also for text that is not valid.

The largest body of one long text is served as before.

--- a/src/proc/http_server.c
+++ b/src/proc/http_server.c
@@ -8,6 +8,7 @@
 
 #include "base/error.h"
 #include "base/events.h"
+#include "base/json_memory.h"
 #include "controller/codec.h"
 #include "proc/http_server_state.h"
 
@@ -133,12 +134,21 @@
     free_body(request);
 }
 
+/* Whether a body that is complete takes too much memory once it is parsed. */
+static int is_too_large_parsed(const struct request *request)
+{
+    return request->body.len && json_memory_estimate((const char *)request->body.at, request->body.len) >
+                                    request->runtime->budget.limits.parsed_bytes;
+}
+
 static void answer_refusal(struct request *request)
 {
     struct world *world = &request->runtime->base;
     int64_t body_bytes = request->runtime->budget.limits.body_bytes[request->connection->entry];
     if (request->refusal == ERROR_TOO_LARGE)
-        world_answer(world, request->slot, ERROR_TOO_LARGE, "the body is over %lld bytes", (long long)body_bytes);
+        world_answer(world, request->slot, ERROR_TOO_LARGE,
+                     "the body is over %lld bytes, or takes over %lld once it is parsed", (long long)body_bytes,
+                     (long long)request->runtime->budget.limits.parsed_bytes);
     else
         world_answer(world, request->slot, request->refusal, "too much is being received; retry later");
 }
@@ -254,6 +264,8 @@
     struct runtime *runtime = request->runtime;
     request->dispatched = 1;
     http_connection_enter(runtime, request->connection, CONNECTION_SERVED);
+    if (!request->refusal && is_too_large_parsed(request))
+        refuse(request, ERROR_TOO_LARGE, "values", request->body.len);
     if (runtime->closing)
         world_answer(&runtime->base, request->slot, ERROR_UNAVAILABLE, "this process is stopping");
     else if (request->refusal)
