--- a/src/proc/http_server.c
+++ b/src/proc/http_server.c
@@ -1,32 +1,20 @@
 /* HTTP server: libmicrohttpd, driven by the libev loop through its epoll descriptor. A request without an immediate
  * response is suspended, and resumed when the response is given. What clients may make the process hold is limited
  * (client_limits.h); a request that exceeds a limit is refused, and its body is not kept. */
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "base/error.h"
-#include "base/events.h"
-#include "base/json_memory.h"
 #include "controller/codec.h"
 #include "proc/http_server_state.h"
 
 enum {
-    BODY_TIMEOUT_MS = 60000, /* from the head of a request to the end of its body */
     IDLE_TIMEOUT_S = 60,
-    FIRST_BODY_BYTES = 4 << 10,   /* allocated for a body whose size is not announced; doubled as it grows */
-    DISCARDED_BODIES_MAX = 2,     /* a connection is closed after a body of so many times the largest size */
-    DROPPED_NOTE_MS = 1000,       /* between two events about dropped requests */
     CLIENT_CONNECTIONS_MAX = 4096 /* of the library; http_connection_make_room() keeps within the limits */
 };
 
 static const struct machine_limits machine_limits_default = {.memory_bytes = 256 << 20, .descriptors = 4096};
 
-struct request_cell {
-    struct request *request;
-};
-
 void http_server_flush(struct runtime *runtime)
 {
     if (runtime->responses_pending)
@@ -57,149 +45,6 @@
     http_server_run(timer->data);
 }
 
-/* --- responses --------------------------------------------------------------- */
-
-static enum MHD_Result queue_response(struct request *request)
-{
-    struct MHD_Response *response =
-        MHD_create_response_from_buffer(strlen(request->response_body), request->response_body, MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(response, "Content-Type", "application/json");
-    if (request->retry_ms) {
-        char seconds[24];
-        snprintf(seconds, sizeof seconds, "%lld", (long long)((request->retry_ms + 999) / 1000));
-        MHD_add_response_header(response, "Retry-After", seconds);
-    }
-    if (request->runtime->role.on_request && request->runtime->leaving_ms)
-        MHD_add_response_header(response, "Connection", "close");
-    enum MHD_Result result = MHD_queue_response(request->mhd, (unsigned)request->status, response);
-    MHD_destroy_response(response);
-    http_connection_enter(request->runtime, request->connection, CONNECTION_SENDING);
-    return result;
-}
-
-void http_server_respond(struct world *world, int64_t slot, int status, int64_t retry_ms, const char *body)
-{
-    struct runtime *runtime = (struct runtime *)world;
-    struct request_cell *cell = slab_at(&runtime->requests, slot);
-    if (!cell || cell->request->response_body)
-        return;
-    struct request *request = cell->request;
-    request->status = status;
-    request->retry_ms = retry_ms;
-    request->response_body = must_dup(body ? body : "");
-    client_budget_release(&runtime->budget, &request->body_charge);
-    if (request->suspended) {
-        request->suspended = 0;
-        MHD_resume_connection(request->mhd);
-        runtime->responses_pending = 1;
-        ev_timer_stop(runtime->loop, &runtime->daemon_timer);
-        ev_timer_set(&runtime->daemon_timer, 0., 0.);
-        ev_timer_start(runtime->loop, &runtime->daemon_timer);
-    }
-}
-
-/* --- bodies ------------------------------------------------------------------ */
-
-void http_request_note_dropped(const struct request *request, const char *why, int64_t bytes)
-{
-    struct runtime *runtime = request->runtime;
-    int64_t now_ms = world_ms(&runtime->base);
-    runtime->n_dropped++;
-    if (runtime->dropped_note_ms && now_ms - runtime->dropped_note_ms < DROPPED_NOTE_MS)
-        return;
-    world_note(&runtime->base, EV_REQUEST_DROPPED, "%s path=%.100s bytes=%lld dropped=%lld", why, request->path,
-               (long long)bytes, (long long)runtime->n_dropped);
-    runtime->n_dropped = 0;
-    runtime->dropped_note_ms = now_ms;
-}
-
-static void free_body(struct request *request)
-{
-    bytes_free(&request->body);
-    client_budget_release(&request->runtime->budget, &request->body_charge);
-}
-
-void http_request_give_up(struct request *request)
-{
-    http_request_note_dropped(request, "slow", request->received_bytes);
-    request->refusal = ERROR_UNAVAILABLE;
-    free_body(request);
-}
-
-/* From now on the body is discarded, and the response will be this error. */
-static void refuse(struct request *request, enum sagehitch_error error, const char *why, int64_t bytes)
-{
-    http_request_note_dropped(request, why, bytes);
-    request->refusal = error;
-    free_body(request);
-}
-
-/* Whether a body that is complete takes too much memory once it is parsed. */
-static int is_too_large_parsed(const struct request *request)
-{
-    return request->body.len && json_memory_estimate((const char *)request->body.at, request->body.len) >
-                                    request->runtime->budget.limits.parsed_bytes;
-}
-
-static void answer_refusal(struct request *request)
-{
-    struct world *world = &request->runtime->base;
-    int64_t body_bytes = request->runtime->budget.limits.body_bytes[request->connection->entry];
-    if (request->refusal == ERROR_TOO_LARGE)
-        world_answer(world, request->slot, ERROR_TOO_LARGE,
-                     "the body is over %lld bytes, or takes over %lld once it is parsed", (long long)body_bytes,
-                     (long long)request->runtime->budget.limits.parsed_bytes);
-    else
-        world_answer(world, request->slot, request->refusal, "too much is being received; retry later");
-}
-
-/* Makes room for a body of this size. Refuses the request if it is too large, or if there is none. */
-static void body_reserve(struct request *request, int64_t bytes)
-{
-    struct runtime *runtime = request->runtime;
-    int64_t entry = request->connection->entry;
-    if (bytes > runtime->budget.limits.body_bytes[entry])
-        refuse(request, ERROR_TOO_LARGE, "large", bytes);
-    else if (!http_connection_charge(runtime, &request->body_charge, client_charge_of_body(entry, bytes)))
-        refuse(request, ERROR_UNAVAILABLE, "overload", bytes);
-}
-
-/* Makes room for a body whose size was not announced, as much again as there was before. */
-static void body_grow(struct request *request)
-{
-    int64_t max = request->runtime->budget.limits.body_bytes[request->connection->entry];
-    int64_t cap = request->body.cap ? (request->body.cap - 1) * 2 : FIRST_BODY_BYTES;
-    while (cap < request->received_bytes)
-        cap *= 2;
-    if (cap > max && request->received_bytes <= max)
-        cap = max;
-    body_reserve(request, cap);
-    if (!request->refusal)
-        bytes_reserve(&request->body, cap);
-}
-
-/* Receives a part of the body. MHD_NO closes the connection. */
-static enum MHD_Result body_add(struct request *request, const char *data, int64_t size)
-{
-    struct runtime *runtime = request->runtime;
-    int64_t max = runtime->budget.limits.body_bytes[request->connection->entry];
-    if (world_ms(&runtime->base) - request->head_ms > BODY_TIMEOUT_MS) {
-        http_request_note_dropped(request, "slow", request->received_bytes);
-        return MHD_NO;
-    }
-    request->received_bytes += size;
-    http_connection_progress(runtime, request->connection, size);
-    if (!request->refusal && request->announced_bytes >= 0)
-        bytes_reserve(&request->body, request->announced_bytes);
-    else if (!request->refusal && request->received_bytes >= request->body.cap)
-        body_grow(request);
-    if (!request->refusal)
-        bytes_add(&request->body, data, size);
-    else if (request->received_bytes > DISCARDED_BODIES_MAX * max)
-        return MHD_NO;
-    return MHD_YES;
-}
-
 /* --- requests ---------------------------------------------------------------- */
 
 static const char *header_of(const struct http_request *http_request, const char *name)
@@ -250,12 +95,12 @@
     ((struct request_cell *)slab_at(&runtime->requests, request->slot))->request = request;
     http_connection_enter(runtime, request->connection, CONNECTION_RECEIVING);
     if (request->announced_bytes > 0)
-        body_reserve(request, request->announced_bytes);
+        http_body_reserve(request, request->announced_bytes);
     if (!request->refusal || !may_answer_early(method))
         return MHD_YES;
     request->dispatched = 1;
-    answer_refusal(request);
-    return queue_response(request);
+    http_body_answer_refusal(request);
+    return http_response_queue(request);
 }
 
 /* Handles a request whose body is complete. */
@@ -264,12 +109,11 @@
     struct runtime *runtime = request->runtime;
     request->dispatched = 1;
     http_connection_enter(runtime, request->connection, CONNECTION_SERVED);
-    if (!request->refusal && is_too_large_parsed(request))
-        refuse(request, ERROR_TOO_LARGE, "values", request->body.len);
+    http_body_check(request);
     if (runtime->closing)
         world_answer(&runtime->base, request->slot, ERROR_UNAVAILABLE, "this process is stopping");
     else if (request->refusal)
-        answer_refusal(request);
+        http_body_answer_refusal(request);
     else
         request_dispatch(request, method);
     bytes_free(&request->body);
@@ -287,14 +131,14 @@
     if (!request->mhd)
         return request_head(request, mhd, method);
     if (*size) {
-        enum MHD_Result result = body_add(request, data, (int64_t)*size);
+        enum MHD_Result result = http_body_add(request, data, (int64_t)*size);
         *size = 0;
         return result;
     }
     if (!request->dispatched)
         request_complete(request, method);
     if (request->response_body)
-        return queue_response(request);
+        return http_response_queue(request);
     if (!request->suspended) {
         request->suspended = 1;
         MHD_suspend_connection(mhd);
@@ -340,7 +184,7 @@
     if (!request)
         return;
     struct runtime *runtime = request->runtime;
-    free_body(request);
+    http_body_free(request);
     client_budget_release(&runtime->budget, &request->response_charge);
     slab_free(&runtime->requests, request->slot);
     if (request->connection) {
--- a/src/proc/http_server_state.h
+++ b/src/proc/http_server_state.h
@@ -35,6 +35,10 @@
     enum sagehitch_error refusal;
 };
 
+struct request_cell {
+    struct request *request;
+};
+
 /* http_connections.c: the list of connections, and those that can be ended for others. */
 /* Adds a connection that was accepted, and removes one that has ended, which is freed. */
 struct http_connection *http_connection_open(struct runtime *runtime, int64_t entry, int fd);
@@ -56,9 +60,19 @@
 enum sagehitch_error http_listeners_open(struct runtime *runtime, const int64_t addrs[LISTENERS_MAX]);
 void http_listeners_close(struct runtime *runtime);
 
-/* http_server.c */
+/* http_bodies.c: a request that exceeds a limit is refused: its body is discarded, and its response is an error. */
+/* Makes room for a body of this size, or refuses the request. */
+void http_body_reserve(struct request *request, int64_t bytes);
+/* Receives a part of the body. MHD_NO closes the connection. */
+enum MHD_Result http_body_add(struct request *request, const char *data, int64_t size);
+/* Refuses a request whose complete body would take too much memory once it is parsed. */
+void http_body_check(struct request *request);
+/* Responds to a request that was refused. */
+void http_body_answer_refusal(struct request *request);
+void http_body_free(struct request *request);
 /* Gives up the body or the response of a request and frees its memory. */
 void http_request_give_up(struct request *request);
-/* Logs that a request was dropped, at most one a second of each kind. */
-void http_request_note_dropped(const struct request *request, const char *why, int64_t bytes);
+
+/* http_responses.c: hands the response that was given to the library. */
+enum MHD_Result http_response_queue(struct request *request);
 #endif
