--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -7,6 +7,8 @@
 
 /* SPEC_MAX: maximum length of a job's text in bytes; JOB_TASKS_MAX: tasks over all steps and repetitions. */
 enum { SPEC_MAX = 4000, STEPS_MAX = 64, JOB_TASKS_MAX = 20000 };
+/* Maximum length in bytes of a label, rack, zone or service that a codec accepts in a job or heartbeat. */
+enum { NAME_BYTES_MAX = 1024 };
 
 /* A step. Resources are requested for each task. checkpoints to long_running are flags (0 or 1). */
 struct step_spec {
--- a/src/dispatch/leader.c
+++ b/src/dispatch/leader.c
@@ -16,10 +16,11 @@
     return op;
 }
 
-static void batch_free(struct batch *batch)
+static void batch_free(struct dispatch *dispatch, struct batch *batch)
 {
     if (!batch)
         return;
+    dispatch->pending_job_bytes -= batch->job_bytes;
     schema_free(&record_batch_schema, &batch->ops);
     free(batch->waiters);
     for (int64_t i = 0; i < batch->n_reservations; i++)
@@ -132,7 +133,7 @@
     dispatch->record->changed = NULL;
     if (dispatch->open_batch)
         answer_waiters(dispatch, dispatch->open_batch, ERROR_NOT_LEADER);
-    batch_free(dispatch->open_batch);
+    batch_free(dispatch, dispatch->open_batch);
     dispatch->open_batch = NULL;
     for (int64_t i = 0; i < dispatch->batches.cap; i++) {
         int64_t tag = slab_number(&dispatch->batches, i);
@@ -140,7 +141,7 @@
         if (!batch)
             continue;
         answer_waiters(dispatch, *batch, ERROR_NOT_LEADER);
-        batch_free(*batch);
+        batch_free(dispatch, *batch);
         slab_free(&dispatch->batches, tag);
     }
     for (int64_t i = 0; i < dispatch->pending_reads.cap; i++) {
@@ -247,5 +248,5 @@
     }
     dispatch->plan_needed = 1;
     schema_free(&record_result_schema, &results);
-    batch_free(batch);
+    batch_free(dispatch, batch);
 }
--- a/src/dispatch/leader.h
+++ b/src/dispatch/leader.h
@@ -17,6 +17,7 @@
     int64_t job_retention_ms; /* how long a job's state can be read after the job ended */
     int64_t restore_ms;       /* how long a run that resumes from a checkpoint may report no progress */
     int64_t remote_data_pct;  /* duration of a task outside the rack of its data, in percent of that inside it */
+    int64_t live_bytes_max;   /* memory for live jobs, in bytes; 0: not limited */
 };
 
 /* What dispatch needs from the controller around it. Messages are borrowed for the call only. */
--- a/src/dispatch/leader_requests.c
+++ b/src/dispatch/leader_requests.c
@@ -60,6 +60,15 @@
     return NULL;
 }
 
+/* Whether there is no memory for one more job of this size. A larger one leaves half of it to small ones, so that a few
+ * large jobs do not keep all others out. */
+static int jobs_take_too_much(const struct dispatch *dispatch, int64_t job_bytes)
+{
+    int64_t max = dispatch->settings.live_bytes_max;
+    int64_t held = dispatch->record->live_bytes + dispatch->pending_job_bytes + job_bytes;
+    return max && held > (job_bytes > SMALL_JOB_BYTES_MAX ? max / 2 : max);
+}
+
 static void request_job(struct dispatch *dispatch, int64_t ticket, const struct api_request *request)
 {
     const struct job_spec *spec = api_request_job(request);
@@ -73,7 +82,14 @@
         dispatch_answer(dispatch, ticket, request->kind, ERROR_OVERLOAD, "too many live jobs; retry later");
         return;
     }
+    int64_t job_bytes = record_job_bytes(spec);
+    if (!job && jobs_take_too_much(dispatch, job_bytes)) {
+        dispatch_answer(dispatch, ticket, request->kind, ERROR_OVERLOAD, "live jobs take too much memory; retry later");
+        return;
+    }
     struct job_op *op = record_op_make_job(dispatch_op(dispatch));
+    dispatch->open_batch->job_bytes += job_bytes;
+    dispatch->pending_job_bytes += job_bytes;
     schema_copy(&submission_schema, &op->spec, spec);
     op->queue = must_dup(queue->name);
     waiter_add(dispatch, ticket, request->kind);
--- a/src/dispatch/leader_state.h
+++ b/src/dispatch/leader_state.h
@@ -20,6 +20,7 @@
     POLL_DELAY_BLOCKED_MS = 10,       /* poll delay of agents while tasks wait for capacity */
     POLL_DELAY_IDLE_MS = 50,          /* poll delay otherwise; longer because polls are expensive */
     LIVE_JOBS_MAX = 4000,             /* further jobs are refused with ERROR_OVERLOAD */
+    SMALL_JOB_BYTES_MAX = 64 << 10,   /* larger jobs may take half of the memory for live jobs */
     WALL_JUMP_MIN_MS = 200,           /* larger steps of the time of day against the steady clock count as jumps */
     WALL_JUMP_CONFIRM_MAX_MS = 60000, /* a jump that has lasted this long is accepted in any case */
     FORGET_DELAY_MS = 60000           /* an ended job is removed this long after its state can no longer be read */
@@ -95,7 +96,8 @@
     int64_t row_index, agent, cpu_milli, memory_mb, gpus;
     char *incarnation;
 };
-/* Ops to be committed together, and the state that depends on their outcome. ends: the runs that its OP_END ops end. */
+/* Ops to be committed together, and the state that depends on their outcome. ends: the runs that its OP_END ops end.
+ * job_bytes: what the jobs of its OP_JOB ops will take. */
 struct batch {
     struct record_batch ops;
     struct waiter *waiters;
@@ -104,6 +106,7 @@
     int64_t n_reservations;
     struct run_ref *ends;
     int64_t n_ends;
+    int64_t job_bytes;
 };
 /* A read request that is not answered yet. until_ms 0: it waits for the read barrier; else it waits until this time for
  * ends that are not committed yet. */
@@ -128,6 +131,7 @@
     int64_t n_queue_demands, *headroom_cpu_milli; /* headroom_cpu_milli: see struct plan_input */
     struct batch *open_batch;                     /* ops to be proposed at the next flush */
     struct slab batches;                          /* of struct batch *, proposed and not committed; by tag */
+    int64_t pending_job_bytes;                    /* sum of job_bytes of the batches, the open one among them */
     struct slab pending_reads;                    /* of struct pending_read, by tag */
     Pvoid_t busy;                                 /* Judy1: row_key() of rows in reservations */
     Pvoid_t run_incarnations;                     /* JudyL: row_key() -> incarnation whose state has the run */
--- a/src/dispatch/record.c
+++ b/src/dispatch/record.c
@@ -184,8 +184,26 @@
     record->n_jobs++;
 }
 
+static int64_t text_bytes(const char *text) { return text ? (int64_t)strlen(text) + 1 : 0; }
+
+int64_t record_job_bytes(const struct job_spec *spec)
+{
+    enum { COUNTS_PER_STEP = 4 }; /* see job_alloc_rows() */
+    int64_t repetitions = job_spec_repetitions(spec);
+    int64_t bytes = (int64_t)sizeof(struct job) + text_bytes(spec->text) + text_bytes(spec->outlet);
+    for (int64_t i = 0; i < spec->n_steps; i++) {
+        const struct step_spec *step = &spec->steps[i];
+        bytes += (int64_t)sizeof *step + text_bytes(step->label) + text_bytes(step->rack);
+        bytes += (step->n_depends_on + COUNTS_PER_STEP * repetitions) * (int64_t)sizeof(int64_t);
+        bytes += step->task_count * repetitions * (int64_t)sizeof(struct row);
+    }
+    return bytes;
+}
+
 void record_link(struct record *record, struct job *job)
 {
+    job->live_bytes = record_job_bytes(&job->spec);
+    record->live_bytes += job->live_bytes;
     job->prev = record->newest;
     if (record->newest)
         record->newest->next = job;
@@ -208,6 +226,8 @@
         record->newest = job->prev;
     job->next = job->prev = NULL;
     record->n_live--;
+    record->live_bytes -= job->live_bytes;
+    job->live_bytes = 0;
     record->queues[job->queue].live--;
 }
 
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -36,6 +36,7 @@
     struct row *rows;
     struct job *next, *prev; /* live jobs, in order of acceptance */
     int64_t index;           /* sequence number, in order of acceptance */
+    int64_t live_bytes;      /* record_job_bytes() of spec while it is live, else 0 */
     uint64_t spec_hash;      /* of spec and the queue's name */
     struct job_rules *rules; /* rules of its outlet when it was accepted; NULL: it belongs to no outlet */
 };
@@ -71,6 +72,7 @@
     Pvoid_t jobs;                /* JudyL: id -> struct job */
     struct job *oldest, *newest; /* of the live jobs */
     int64_t n_jobs, n_live, next_index;
+    int64_t live_bytes; /* of all live jobs */
     struct incarnation *incarnations;
     int64_t n_incarnations;
     struct rules rules;
@@ -106,6 +108,8 @@
 void record_snapshot(const struct record *record, struct bytes *to);
 enum sagehitch_error record_restore(struct record *record, const struct bytes *from);
 
+/* The memory in bytes that a live job of this spec takes, about. */
+int64_t record_job_bytes(const struct job_spec *spec);
 /* The job with this id, NULL: none; the pointer is valid until the job is removed. */
 struct job *record_job(const struct record *record, int64_t id);
 /* The index of the incarnation or queue of this name. */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -156,17 +156,15 @@
     return job.insert(at, "\"requirements\":\"" + std::string(BODY_MAX - 4096, 'x') + "\",");
 }
 
-// Whole jobs, each of one text as long as a body: what is accepted is kept.
-TEST(Jobs, OfLongTextsLeaveTheProcessesWithinTheirLimits)
+// Whole jobs with this body, which are kept if they are accepted.
+static void expect_service_beside_jobs(const Shape &shape, const std::string &body)
 {
-    const Shape shape = {"LongTexts", 24, 0, CONTENT_LENGTH, 0, MIB, 1};
     Watched watched(CONTROLLER_LIMITS, AGENT_LIMITS);
     Fleet &fleet = watched.fleet;
     ASSERT_TRUE(fleet.start());
     const Controller &attacked = fleet.attacked(CALLERS);
     Crowd crowd;
-    crowd.open(attacked.address(), fleet.port(CALLERS), shape, job_of_one_long_text(),
-               [](int i) { return head_for(CALLERS, i, 0); });
+    crowd.open(attacked.address(), fleet.port(CALLERS), shape, body, [](int i) { return head_for(CALLERS, i, 0); });
     crowd.run(shape.piece, [&] { watched.look(); });
     watched.look();
     printf("%s\n", crowd.summary().c_str());
@@ -176,6 +174,19 @@
     EXPECT_EQ(watched.problems, "");
 }
 
+// Each of one text as long as a body.
+TEST(Jobs, OfLongTextsLeaveTheProcessesWithinTheirLimits)
+{
+    expect_service_beside_jobs({"LongTexts", 24, 0, CONTENT_LENGTH, 0, MIB, 1}, job_of_one_long_text());
+}
+
+// Small bodies of legal jobs, each of the most tasks that a job may have.
+TEST(Jobs, OfManyTasksLeaveTheProcessesWithinTheirLimits)
+{
+    expect_service_beside_jobs({"ManyTasks", 200, 0, CONTENT_LENGTH, 0, MIB, 1},
+                               R"({"spec":"wait","stages":[{"taskCount":20000,"vcpus":100}]})");
+}
+
 class Connections : public testing::TestWithParam<Target>
 {
 };
--- a/tests/model/controller_node.cc
+++ b/tests/model/controller_node.cc
@@ -78,7 +78,7 @@
 /* Copies all that bootstrap and membership own. A new pointer in struct controller must be copied here. */
 void Node::copy_controller(const Node &other)
 {
-    static_assert(sizeof(struct controller) == 6216,
+    static_assert(sizeof(struct controller) == 6232,
                   "struct controller has changed: copy here what it owns, then update the size");
     const struct controller &from = other.controller;
     controller = from;
--- a/tests/proc/cluster_rig.h
+++ b/tests/proc/cluster_rig.h
@@ -209,7 +209,7 @@
     setup.machines_lost = 1;
     setup.boot = boot;
     setup.grace_ms = 6000;
-    setup.dispatch = {6000, 3000, 250, 120000, 600, 150};
+    setup.dispatch = {6000, 3000, 250, 120000, 600, 150, 0};
     setup.codec = codec;
     controller = controller_new(&runtime.base, &setup);
     ASSERT_NE(controller, nullptr);
--- a/tests/unit/relay_resend_test.cc
+++ b/tests/unit/relay_resend_test.cc
@@ -53,7 +53,7 @@
         setup.seeds = seeds;
         setup.n_seeds = 1;
         setup.boot = 1;
-        setup.dispatch = {6000, 3000, 250, 120000, 600, 150};
+        setup.dispatch = {6000, 3000, 250, 120000, 600, 150, 0};
         setup.codec = &codec;
         controller = controller_new(this, &setup);
     }
