--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -244,6 +244,29 @@
     EXPECT_EQ(watched.problems, "");
 }
 
+// Whole configurations of 2 MiB to every controller at once, none of which is on the version in force: they are copied
+// on their way to the leader and to the other voters.
+TEST(Configurations, SentToEveryControllerLeaveTheProcessesWithinTheirLimits)
+{
+    const Shape shape = {"Configurations", 32, 2 * MIB, CONTENT_LENGTH, 0, MIB, 1};
+    Watched watched(CONTROLLER_LIMITS, AGENT_LIMITS);
+    Fleet &fleet = watched.fleet;
+    ASSERT_TRUE(fleet.start());
+    Crowd crowd;
+    for (const Controller *c : fleet.of_controllers())
+        crowd.open(c->address(), fleet.port(OPERATORS), shape, padded_body(OPERATORS, shape.body),
+                   [](int) { return head_for(OPERATORS, 0, 1000000); });
+    crowd.run(shape.piece, [&] { watched.look(); });
+    watched.look();
+    printf("%s\n", crowd.summary().c_str());
+    EXPECT_TRUE(fleet.configure(fleet.attacked(OPERATORS), ",\"pad\":\"" + std::string(MIB, 'x') + "\""))
+        << "no answer to a large configuration beside the crowd";
+    EXPECT_TRUE(fleet.ordinary(CALLERS, fleet.attacked(CALLERS))) << "no answer to a caller beside the crowd";
+    watched.look();
+    printf("%s\n", fleet.sizes().c_str());
+    EXPECT_EQ(watched.problems, "");
+}
+
 // A single request in calm: where it is sent, and whether that is the leader.
 struct Place {
     const char *name;
--- a/tests/crowd/fleet.h
+++ b/tests/crowd/fleet.h
@@ -67,6 +67,14 @@
         int leader = controllers.leader();
         return controllers.all[target == OPERATORS ? (leader == 0 ? 1 : 0) : (size_t)std::max(leader, 0)];
     }
+    std::vector<const Controller *> of_controllers() const
+    {
+        std::vector<const Controller *> found;
+        for (const Controller &c : controllers.all)
+            if (!c.agent)
+                found.push_back(&c);
+        return found;
+    }
     int port(Target target) const
     {
         return target == CALLERS     ? controllers.callers_port()
