Incomplete frames and connections of peers are bounded by memory and descriptors

The inner port takes connections from anybody: 24 that announce a frame of 60 MiB and stop after 8 MiB took 132 to 167 MB of 96 (controllers) and 48 (agent), and 300 idle ones as many descriptors.

Cause: net.c kept up to 64 MiB an incoming connection, and any number of connections, for good.

Peers connect again within 100 ms.

Keepers and nodes of the own interface have no such limit yet.

--- a/src/proc/client_limits.c
+++ b/src/proc/client_limits.c
@@ -5,13 +5,12 @@
 
 enum {
     CONNECTIONS_MAX = 3000,
-    FILE_DESCRIPTORS_KEPT = 200, /* for files outside the data folder */
-    HELD_SHARE = 4,              /* a quarter of the memory is for what requests hold */
-    PARSED_SHARE = 3,            /* a third for a body that is being parsed: one at a time */
-    CONNECTIONS_SHARE = 8,       /* an eighth for the buffers of connections */
-    SMALL_SHARE = 4,             /* a quarter of what requests hold is for small ones alone */
-    DESCRIPTORS_SHARE = 2,       /* half of the descriptors is for connections of clients */
-    OPERATOR_BODY_COPIES = 3     /* the configuration, the request that waits for the leader, and its frame */
+    HELD_SHARE = 4,          /* a quarter of the memory is for what requests hold */
+    PARSED_SHARE = 3,        /* a third for a body that is being parsed: one at a time */
+    CONNECTIONS_SHARE = 8,   /* an eighth for the buffers of connections */
+    SMALL_SHARE = 4,         /* a quarter of what requests hold is for small ones alone */
+    DESCRIPTORS_SHARE = 2,   /* half of the descriptors is for connections of clients */
+    OPERATOR_BODY_COPIES = 3 /* the configuration, the request that waits for the leader, and its frame */
 };
 
 /* How connections, and the memory for large requests, are shared among the entries that are served. */
--- a/src/proc/client_limits.h
+++ b/src/proc/client_limits.h
@@ -8,6 +8,7 @@
     CLIENT_ENTRIES = 3,                /* entries of a process, by enum entry of controller/codec.h */
     SMALL_BYTES_MAX = 64 << 10,        /* bodies and responses up to this size share one pool */
     LARGEST_BODY_BYTES = 8 << 20,      /* that is accepted on any machine */
+    FILE_DESCRIPTORS_KEPT = 200,       /* for files outside the data folder */
     CONNECTION_MEMORY_BYTES = 32 << 10 /* of the HTTP library, for the head and the part of a body that is read */
 };
 
--- a/src/proc/net.c
+++ b/src/proc/net.c
@@ -10,6 +10,7 @@
 
 #include "base/frame.h"
 #include "base/error.h"
+#include "base/events.h"
 #include "proc/runtime.h"
 
 enum {
@@ -33,13 +34,16 @@
     int connected;
 };
 
-/* An incoming connection, in the list runtime->in_connections. received: bytes of a frame that is not complete yet. */
+/* An incoming connection, in the list runtime->in_connections. received: bytes of a frame that is not complete yet.
+ * progress_ms: when it was opened, or bytes were last received. Invariant: runtime->in_bytes is the sum of
+ * received.len of all. */
 struct in_connection {
     struct runtime *runtime;
     struct in_connection *next, *previous;
     int fd;
     ev_io io;
     struct bytes received;
+    int64_t progress_ms;
 };
 
 static struct sockaddr_in address(uint64_t addr)
@@ -192,6 +196,8 @@
     if (in->next)
         in->next->previous = in;
     runtime->in_connections = in;
+    runtime->n_in_connections++;
+    in->progress_ms = world_ms(&runtime->base);
     ev_io_start(runtime->loop, &in->io);
 }
 
@@ -203,12 +209,51 @@
         in->previous->next = in->next;
     else
         in->runtime->in_connections = in->next;
+    in->runtime->n_in_connections--;
+    in->runtime->in_bytes -= in->received.len;
     ev_io_stop(in->runtime->loop, &in->io);
     close(in->fd);
     bytes_free(&in->received);
     free(in);
 }
 
+/* The incoming connection without progress for the longest time, except one; with bytes of an incomplete frame only, if
+ * holding is set. NULL: there is none. */
+static struct in_connection *idlest_connection(struct runtime *runtime, const struct in_connection *except, int holding)
+{
+    struct in_connection *idlest = NULL;
+    for (struct in_connection *in = runtime->in_connections; in; in = in->next)
+        if (in != except && (!holding || in->received.len) && (!idlest || in->progress_ms < idlest->progress_ms))
+            idlest = in;
+    return idlest;
+}
+
+/* Makes room for n more bytes of an incomplete frame: connections that hold some give way, the idlest first. Returns 0
+ * if there is no room even so. */
+static int in_reserve(struct in_connection *in, int64_t n)
+{
+    struct runtime *runtime = in->runtime;
+    while (runtime->in_bytes_max && runtime->in_bytes + n > runtime->in_bytes_max) {
+        struct in_connection *idlest = idlest_connection(runtime, in, 1);
+        if (!idlest)
+            return 0;
+        world_note(&runtime->base, EV_FRAME_DROPPED, "incomplete frame of %lld bytes, no room",
+                   (long long)idlest->received.len);
+        in_close(idlest);
+    }
+    return 1;
+}
+
+static void in_remove(struct in_connection *in, int64_t n)
+{
+    in->received.len -= n;
+    in->runtime->in_bytes -= n;
+    if (!in->received.len && in->received.cap > KEPT_BUFFER_MAX)
+        bytes_free(&in->received);
+    if (n && in->received.len)
+        memmove(in->received.at, in->received.at + n, (size_t)in->received.len);
+}
+
 static void in_event(struct ev_loop *loop, ev_io *io, int events)
 {
     struct in_connection *in = io->data;
@@ -217,10 +262,12 @@
     ssize_t n = recv(in->fd, chunk, sizeof chunk, MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
         return;
-    if (n <= 0) {
+    if (n <= 0 || !in_reserve(in, n)) {
         in_close(in);
         return;
     }
+    in->progress_ms = world_ms(&in->runtime->base);
+    in->runtime->in_bytes += n;
     bytes_add(&in->received, chunk, n);
     int64_t offset = 0;
     while (in->received.len - offset >= FRAME_HEAD) {
@@ -236,11 +283,7 @@
         in->runtime->role.on_frame(in->runtime->role.arg, in->received.at + offset, len);
         offset += len;
     }
-    in->received.len -= offset;
-    if (!in->received.len && in->received.cap > KEPT_BUFFER_MAX)
-        bytes_free(&in->received);
-    if (offset && in->received.len)
-        memmove(in->received.at, in->received.at + offset, (size_t)in->received.len);
+    in_remove(in, offset);
 }
 
 static void listen_event(struct ev_loop *loop, ev_io *io, int events)
@@ -249,6 +292,8 @@
     int fd;
     (void)loop, (void)events;
     while ((fd = accept4(runtime->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        if (runtime->in_connections_max && runtime->n_in_connections >= runtime->in_connections_max)
+            in_close(idlest_connection(runtime, NULL, 0));
         struct in_connection *in = must_alloc(sizeof *in);
         *in = (struct in_connection){.runtime = runtime, .fd = fd};
         ev_io_init(&in->io, in_event, fd, EV_READ);
--- a/src/proc/runtime.h
+++ b/src/proc/runtime.h
@@ -69,6 +69,7 @@
     struct out_connection **out_connections;
     int64_t n_out_connections, next_connection_check_ms;
     struct in_connection *in_connections;
+    int64_t n_in_connections, in_bytes; /* in_bytes: of incomplete frames, over all of them */
     /* HTTP server */
     struct MHD_Daemon *daemon;
     ev_io daemon_io;
@@ -98,6 +99,7 @@
     ev_prepare prepare;
     ev_signal sigterm_watcher, sigint_watcher, sighup_watcher;
     int64_t leaving_ms, timer_ms, leave_ms, out_max;
+    int64_t in_bytes_max, in_connections_max; /* limits on incoming frames and connections of peers, 0: none */
 };
 
 /* Initializes the process without opening ports. local is borrowed. Returns 0, or an error that was printed. */
--- a/tests/crowd/crowd_test.cc
+++ b/tests/crowd/crowd_test.cc
@@ -7,6 +7,10 @@
 #include "crowd.h"
 #include "fleet.h"
 
+extern "C" {
+#include "base/frame.h"
+}
+
 using namespace crowd;
 
 namespace
@@ -267,6 +271,42 @@
     EXPECT_EQ(watched.problems, "");
 }
 
+class FramePorts : public testing::TestWithParam<Target>
+{
+};
+
+// Frames for the port of other processes that are announced as large and stop short of their end, and more connections
+// than descriptors that send nothing.
+TEST_P(FramePorts, LeaveTheProcessesWithinTheirLimits)
+{
+    enum { FRAME_BYTES = 60 * MIB, SENT_BYTES = 8 * MIB };
+    const Shape large = {"Frames", 24, SENT_BYTES, CONTENT_LENGTH, 0, MIB, 0};
+    const Shape idle = {"Idle", 300, 1, CONTENT_LENGTH, 0, MIB, 0};
+    Watched watched(CONTROLLER_LIMITS, AGENT_LIMITS);
+    Fleet &fleet = watched.fleet;
+    ASSERT_TRUE(fleet.start());
+    const Controller &attacked = fleet.attacked(GetParam());
+    uint8_t head[FRAME_HEAD] = {'S', 'H', FRAME_VERSION, FRAME_REPORT};
+    le_put(head + 4, hash_text("sagehitch"), 4);
+    le_put(head + 16, FRAME_BYTES, 4);
+    Crowd crowd;
+    crowd.open(attacked.address(), fleet.frame_port(attacked), large, std::string(SENT_BYTES, 'x'),
+               [&head](int) { return std::string((const char *)head, sizeof head); });
+    crowd.run(large.piece, [&] { watched.look(); });
+    Crowd idlers;
+    idlers.open(attacked.address(), fleet.frame_port(attacked), idle, "x", [](int) { return std::string("S"); });
+    idlers.run(idle.piece, [&] { watched.look(); });
+    watched.look();
+    printf("%s\n", crowd.summary().c_str());
+    EXPECT_TRUE(fleet.ordinary(GetParam(), attacked)) << "no answer beside the crowd";
+    EXPECT_TRUE(fleet.ordinary(CALLERS, fleet.attacked(CALLERS))) << "no answer to a caller beside the crowd";
+    watched.look();
+    printf("%s\n", fleet.sizes().c_str());
+    EXPECT_EQ(watched.problems, "");
+}
+INSTANTIATE_TEST_SUITE_P(Every, FramePorts, testing::Values(CALLERS, OPERATORS, AGENT),
+                         [](const auto &info) { return std::string(TARGET_NAMES[info.param]); });
+
 // A single request in calm: where it is sent, and whether that is the leader.
 struct Place {
     const char *name;
--- a/tests/crowd/fleet.h
+++ b/tests/crowd/fleet.h
@@ -67,6 +67,8 @@
         int leader = controllers.leader();
         return controllers.all[target == OPERATORS ? (leader == 0 ? 1 : 0) : (size_t)std::max(leader, 0)];
     }
+    // The port for frames of other processes: the first of the inner ports, of an agent the second.
+    int frame_port(const Controller &c) const { return controllers.operators_port() + (c.agent ? 2 : 1); }
     std::vector<const Controller *> of_controllers() const
     {
         std::vector<const Controller *> found;
