--- a/src/proc/http_connections.c
+++ b/src/proc/http_connections.c
@@ -10,6 +10,7 @@
     PERIOD_MS = 2000,       /* of measuring the progress of a connection */
     SLOW_MIN_MS = 500,      /* a shorter part of a period shows nothing */
     SLOW_BYTES_PER_MS = 64, /* a quarter of the slowest link of a machine (2 Mbit/s) */
+    STALLED_MS = 1000,      /* without any progress */
     CLOSING_MAX = 32        /* connections that are shut down and have not ended yet, of one entry */
 };
 
@@ -44,7 +45,7 @@
                            enum http_connection_state state)
 {
     connection->state = state;
-    connection->since_ms = world_ms(&runtime->base);
+    connection->since_ms = connection->progress_ms = world_ms(&runtime->base);
     connection->period_bytes = 0;
 }
 
@@ -53,6 +54,7 @@
     if (world_ms(&runtime->base) - connection->since_ms >= PERIOD_MS)
         http_connection_enter(runtime, connection, connection->state);
     connection->period_bytes += bytes;
+    connection->progress_ms = world_ms(&runtime->base);
 }
 
 /* Whether the connection receives or sends, but hardly makes progress. */
@@ -60,7 +62,9 @@
 {
     int64_t elapsed_ms = now_ms - connection->since_ms;
     int transfers = connection->state == CONNECTION_RECEIVING || connection->state == CONNECTION_SENDING;
-    return transfers && elapsed_ms >= SLOW_MIN_MS && connection->period_bytes < elapsed_ms * SLOW_BYTES_PER_MS;
+    if (!transfers || elapsed_ms < SLOW_MIN_MS)
+        return 0;
+    return now_ms - connection->progress_ms >= STALLED_MS || connection->period_bytes < elapsed_ms * SLOW_BYTES_PER_MS;
 }
 
 static void end_connection(struct runtime *runtime, struct http_connection *connection)
@@ -88,13 +92,16 @@
     return waiting ? waiting : slow;
 }
 
-int http_connection_make_room(struct runtime *runtime, int64_t entry)
+int http_connection_has_room(const struct runtime *runtime, int64_t entry)
 {
     int64_t open = runtime->n_connections[entry] - runtime->n_closing[entry];
+    return runtime->n_closing[entry] < CLOSING_MAX && open < runtime->budget.limits.connections[entry];
+}
+
+int http_connection_make_room(struct runtime *runtime, int64_t entry)
+{
     if (runtime->n_closing[entry] >= CLOSING_MAX)
         return 0;
-    if (open < runtime->budget.limits.connections[entry])
-        return 1;
     struct http_connection *connection = connection_to_end(runtime, entry, world_ms(&runtime->base));
     if (connection)
         end_connection(runtime, connection);
--- a/src/proc/http_listeners.c
+++ b/src/proc/http_listeners.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdio.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -10,9 +11,10 @@
 #include "controller/codec.h"
 #include "proc/http_server_state.h"
 
-enum { BACKLOG = 1024 };
-/* How long a listener without room accepts nothing. */
-static const double PAUSE_S = 0.05;
+enum {
+    BACKLOG = 1024,
+    PAUSE_MS = 50 /* how long a listener without room accepts nothing */
+};
 
 static struct sockaddr_in address(uint64_t addr)
 {
@@ -32,10 +34,17 @@
 {
     struct ev_loop *loop = listener->runtime->loop;
     ev_io_stop(loop, &listener->io);
-    ev_timer_set(&listener->pause, PAUSE_S, 0.);
+    ev_timer_set(&listener->pause, PAUSE_MS / 1000., 0.);
     ev_timer_start(loop, &listener->pause);
 }
 
+/* Whether a connection can be accepted. */
+static int is_pending(const struct http_listener *listener)
+{
+    struct pollfd polled = {.fd = listener->fd, .events = POLLIN};
+    return poll(&polled, 1, 0) > 0;
+}
+
 /* Accepts one connection. Returns 0, or -1 if there is none to accept now. */
 static int accept_one(struct http_listener *listener)
 {
@@ -43,9 +52,13 @@
     struct sockaddr_in from;
     socklen_t len = sizeof from;
     int on = 1;
-    if (!http_connection_make_room(runtime, listener->entry)) {
-        pause_begin(listener);
-        return -1;
+    if (!http_connection_has_room(runtime, listener->entry)) {
+        if (!is_pending(listener))
+            return -1;
+        if (!http_connection_make_room(runtime, listener->entry)) {
+            pause_begin(listener);
+            return -1;
+        }
     }
     int fd = accept4(listener->fd, (struct sockaddr *)&from, &len, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
@@ -85,7 +98,7 @@
         fprintf(stderr, "sagehitch: cannot listen on %s\n", addr_text(addr));
         return ERROR_BAD_SETTING;
     }
-    ev_timer_init(&listener->pause, pause_end, PAUSE_S, 0.);
+    ev_timer_init(&listener->pause, pause_end, PAUSE_MS / 1000., 0.);
     listener->pause.data = listener;
     ev_io_init(&listener->io, listener_event, listener->fd, EV_READ);
     listener->io.data = listener;
--- a/src/proc/http_server_state.h
+++ b/src/proc/http_server_state.h
@@ -8,14 +8,14 @@
 enum http_connection_state { CONNECTION_WAITING, CONNECTION_RECEIVING, CONNECTION_SERVED, CONNECTION_SENDING };
 
 /* An open connection, in the list runtime->connections. since_ms: when its state began, or the current period in which
- * its progress is measured; period_bytes: received or sent since then. request: the current one, or NULL. closing: it
- * was shut down and is about to end. */
+ * its progress is measured; period_bytes: received or sent since then; progress_ms: when the last of them were.
+ * request: the current one, or NULL. closing: it was shut down and is about to end. */
 struct http_connection {
     struct http_connection *next, *previous;
     int64_t entry;
     int fd, closing;
     enum http_connection_state state;
-    int64_t since_ms, period_bytes;
+    int64_t since_ms, period_bytes, progress_ms;
     struct request *request;
 };
 
@@ -48,8 +48,9 @@
                            enum http_connection_state state);
 /* Counts bytes that were received or sent. */
 void http_connection_progress(struct runtime *runtime, struct http_connection *connection, int64_t bytes);
-/* Whether one more connection of this entry may be opened. Ends one that has waited for long, or is slow, if there are
- * as many as may be. */
+/* Whether one more connection of this entry may be opened. */
+int http_connection_has_room(const struct runtime *runtime, int64_t entry);
+/* Ends a connection that has waited for long, or is slow, for a new one. Returns whether there is room then. */
 int http_connection_make_room(struct runtime *runtime, int64_t entry);
 /* Replaces the charge of a request by next, and gives up slow requests of that pool if it is used up. Returns 1, or 0
  * if there still is no room; the charge is unchanged then. */
