--- a/src/proc/http_listeners.c
+++ b/src/proc/http_listeners.c
@@ -1,6 +1,5 @@
 /* The listening sockets of the HTTP server. A connection is accepted only if there is room for it; otherwise it waits
  * in the queue of the kernel. */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -10,19 +9,13 @@
 
 #include "controller/codec.h"
 #include "proc/http_server_state.h"
+#include "proc/socket_address.h"
 
 enum {
     BACKLOG = 1024,
     PAUSE_MS = 50 /* how long a listener without room accepts nothing */
 };
 
-static struct sockaddr_in address(uint64_t addr)
-{
-    struct sockaddr_in socket_addr = {.sin_family = AF_INET, .sin_port = htons((uint16_t)(addr & 0xffff))};
-    socket_addr.sin_addr.s_addr = htonl((uint32_t)(addr >> 16));
-    return socket_addr;
-}
-
 static void pause_end(struct ev_loop *loop, ev_timer *timer, int events)
 {
     struct http_listener *listener = timer->data;
@@ -86,7 +79,7 @@
 static enum sagehitch_error listen_at(struct runtime *runtime, int64_t entry, uint64_t addr)
 {
     struct http_listener *listener = &runtime->listeners[runtime->n_listeners];
-    struct sockaddr_in socket_addr = address(addr);
+    struct sockaddr_in socket_addr = socket_address(addr);
     int on = 1;
     *listener = (struct http_listener){.runtime = runtime, .entry = entry};
     listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
--- a/src/proc/net.c
+++ b/src/proc/net.c
@@ -1,5 +1,4 @@
 /* Frames: one outgoing TCP connection to each peer, and UDP for frames that may be lost. */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/tcp.h>
@@ -12,6 +11,7 @@
 #include "base/error.h"
 #include "base/events.h"
 #include "proc/runtime.h"
+#include "proc/socket_address.h"
 
 enum {
     RECONNECT_MS = 100,
@@ -46,13 +46,6 @@
     int64_t progress_ms;
 };
 
-static struct sockaddr_in address(uint64_t addr)
-{
-    struct sockaddr_in socket_addr = {.sin_family = AF_INET, .sin_port = htons((uint16_t)(addr & 0xffff))};
-    socket_addr.sin_addr.s_addr = htonl((uint32_t)(addr >> 16));
-    return socket_addr;
-}
-
 static void out_disconnect(struct out_connection *out)
 {
     if (out->fd >= 0) {
@@ -110,7 +103,7 @@
 
 static void out_connect(struct out_connection *out)
 {
-    struct sockaddr_in to = address(out->to);
+    struct sockaddr_in to = socket_address(out->to);
     int on = 1;
     out->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (out->fd < 0)
@@ -146,7 +139,7 @@
 {
     struct runtime *runtime = (struct runtime *)world;
     if (lossy && frame->bytes.len < 1400 && runtime->udp_fd >= 0) {
-        struct sockaddr_in socket_addr = address(to);
+        struct sockaddr_in socket_addr = socket_address(to);
         sendto(runtime->udp_fd, frame->bytes.at, (size_t)frame->bytes.len, MSG_DONTWAIT,
                (struct sockaddr *)&socket_addr, sizeof socket_addr);
         return;
@@ -317,7 +310,7 @@
 
 enum sagehitch_error net_start(struct runtime *runtime)
 {
-    struct sockaddr_in socket_addr = address(runtime->base.self);
+    struct sockaddr_in socket_addr = socket_address(runtime->base.self);
     int on = 1;
     runtime->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     runtime->udp_fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
