Review case 7: a replaced controller never gets its vote where zones may be lost

Cause: spare learners are taken in the order in which they ask, whatever their zones; two of other zones keep the one of the right zone out.

--- a/review/src-2/cases.cc
+++ b/review/src-2/cases.cc
@@ -273,6 +273,40 @@
     return unanswered || idle_jobs || !read_back ? BROKEN : HELD;
 }
 
+// A zone may be lost. The only controller with a disk of the zone west is replaced for good by an empty one (TROUBLE=0: it
+// stays); long after that, the zone north loses its disks and comes back.
+int replaced_in_zone(Record &record, bool trouble)
+{
+    enum { SETTLE_MS = 12000, REPLACED_MS = 20000, DOWN_MS = 1200, RECOVERY_MS = 12000, READ_BACK_MS = 15000, JOBS = 5 };
+    enum { NORTH_1, NORTH_2, EAST_1, EAST_2, WEST, SUCCESSOR = 6 };
+    Fleet fleet(record, {{1, "north"}, {2, "north"}, {3, "east"}, {4, "east"}, {5, "west"}}, {1, 3, 5}, 1);
+    if (!fleet.begin({}) || !fleet.configure(0, configuration(3, {route("r-one", "/one/", "alpha")}, {"alpha"})))
+        return CANNOT_RUN;
+    for (int i = 0; i < JOBS; i++)
+        if (fleet.client("POST", "/one/" + job_id(i), job("work=200", 1, 200)).status != 200)
+            return CANNOT_RUN;
+    sleep_ms(SETTLE_MS);
+    if (trouble)
+        fleet.replace(fleet.edge(WEST), SUCCESSOR);
+    sleep_ms(REPLACED_MS);
+    if (!fleet.configure(3, configuration(5, {route("r-one", "/one/", "alpha")}, {"alpha"})))
+        return CANNOT_RUN;
+    for (int i : {NORTH_1, NORTH_2})
+        fleet.stop(fleet.edge((size_t)i));
+    sleep_ms(DOWN_MS);
+    for (int i : {NORTH_1, NORTH_2})
+        fleet.start_again(fleet.edge((size_t)i), true);
+    sleep_ms(RECOVERY_MS);
+    bool read_back = fleet.read_back(5, READ_BACK_MS);
+    int answered = 0;
+    for (int i = 0; i < JOBS; i++)
+        answered += fleet.client("GET", "/one/" + job_id(i), "", now_ms() + 3000).status == 200;
+    record.note("configuration read back: %s; %d of %d jobs answered", read_back ? "yes" : "no", answered, JOBS);
+    if (fleet.a_process_ended())
+        return BROKEN;
+    return read_back && answered == JOBS ? HELD : BROKEN;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -289,6 +323,7 @@
                   : name == "hopeless-job" ? hopeless_job(record, with_trouble)
                   : name == "reused-name"  ? reused_name(record, with_trouble)
                   : name == "new-names"    ? new_names(record, with_trouble)
+                  : name == "zone"         ? replaced_in_zone(record, with_trouble)
                                            : CANNOT_RUN;
     record.note("exit %d", outcome);
     fflush(nullptr);
--- a/review/src-2/fleet.h
+++ b/review/src-2/fleet.h
@@ -1,4 +1,5 @@
-// A small deployment on loopback addresses: three controllers with a disk, and agents beside stand-ins for executors.
+// A small deployment on loopback addresses: controllers with a disk, three if nothing else is said, and agents beside
+// stand-ins for executors.
 // The programs are the project's own, started with the commands of deploy/system.toml. Each process is ended with the
 // fleet, and with this process.
 #ifndef SAGEHITCH_REVIEW_2_FLEET_H
@@ -22,10 +23,16 @@
     std::string service, kind;
 };
 
+// A controller of the deployment. number: the last part of its address. pid 0: it does not run.
+struct Edge {
+    int number;
+    std::string zone;
+    pid_t pid = 0;
+};
+
 class Fleet
 {
     enum {
-        CONTROLLERS = 3,
         FIRST_SIDE = 11,
         OPERATORS = 0,
         INNER_FIRST = 1,
@@ -40,7 +47,10 @@
     Record &record;
     std::filesystem::path folder;
     int port = 0;
-    std::vector<pid_t> processes;
+    std::vector<Edge> edges;
+    std::vector<int> seeds;
+    int zones_lost;
+    std::vector<pid_t> agents;
     std::vector<std::unique_ptr<Executor>> executors;
 
     static std::string ip_of(int number) { return "127.0.0." + std::to_string(number); }
@@ -59,27 +69,33 @@
         return true;
     }
 
-    std::string settings(int number, bool side, const std::string &service) const
+    std::string data_of(int number) const { return (folder / (ip_of(number) + ".data")).string(); }
+
+    std::string settings(int number, const std::string &zone, bool side, const std::string &service, bool initial) const
     {
         std::string own = ip_of(number), text;
         auto bind = [&](int at) { return "\"" + own + ":" + std::to_string(port + at) + "\""; };
         text += "nodeName: \"node-" + std::to_string(number) + "\"\nrole: \"" + (side ? "agent" : "controller") +
                 "\"\nmachineClass: \"" + (side ? "side" : "edge") + "\"\nipAddress: \"" + own +
-                "\"\nzone: \"north\"\nregion: \"coast\"\nzones:\n  north: \"coast\"\nbindAddresses:\n  controlPlane: " +
-                bind(OPERATORS) + "\n";
+                "\"\nzone: \"" + zone + "\"\nregion: \"coast\"\nzones:\n";
+        for (const char *name : {"north", "east", "west"})
+            text += std::string("  ") + name + ": \"coast\"\n";
+        text += "bindAddresses:\n  controlPlane: " + bind(OPERATORS) + "\n";
         if (!side)
             text += "  frontend: " + bind(FRONTEND) + "\n  readiness: " + bind(READINESS) + "\n";
         text += "internalPortRange:\n  - " + std::to_string(port + INNER_FIRST) + "\n  - " +
                 std::to_string(port + INNER_LAST) + "\nseedNodes:\n";
-        for (int i = 1; i <= CONTROLLERS; i++)
-            text += "  - \"" + ip_of(i) + ":" + std::to_string(port + OPERATORS) + "\"\n";
-        text += std::string("initialStart: true\ncountsAsLoss: ") + (side ? "false" : "true") +
+        for (int seed : seeds)
+            text += "  - \"" + ip_of(seed) + ":" + std::to_string(port + OPERATORS) + "\"\n";
+        text += std::string("initialStart: ") + (initial ? "true" : "false") + "\ncountsAsLoss: " + (side ? "false" : "true") +
                 "\nlimits:\n  cpuShare: 0.5\n  cpuCores: 1\n  memoryMb: " + (side ? "128" : "260") +
                 "\n  maxFileDescriptors: 4096\n  networkMbps: 1000.0\n  diskMb: 128\ndataDirectory: " +
-                (side ? "null" : "\"" + (folder / (own + ".data")).string() + "\"") +
+                (side ? "null" : "\"" + data_of(number) + "\"") +
                 "\ndiscoverySource: \"local\"\nentryType: \"virtual_ip\"\nheartbeatIntervalMs: 1500\n"
                 "activeContracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"recover\"\n  - \"sched\"\n"
-                "faultTolerance:\n  machines: 1\n  zones: 0\n  regions: 0\n"
+                "faultTolerance:\n  machines: 1\n  zones: " +
+                std::to_string(zones_lost) +
+                "\n  regions: 0\n"
                 "bounds:\n  seedLagS: 3\n  addressReuseS: 2\n  contactMs: 3000\n  ackTimeoutMs: 4000\n  catchUpS: 4\n"
                 "  drainMs: 2000\n  gracePeriodS: 6\n  lossSlackMs: 200\n  configApplyMs: 2000\n"
                 "  rollbackSlackMs: 250\n  maxExtensionMs: 5000\n  recoveryS: 12\n  holdMaxMs: 6000\n"
@@ -91,18 +107,16 @@
         return text;
     }
 
-    void start(int number, bool side, const std::string &service)
+    pid_t start(int number, const std::string &zone, bool side, const std::string &service, bool initial)
     {
         std::string file = (folder / (ip_of(number) + ".yaml")).string();
         std::string log = (folder / (ip_of(number) + ".log")).string();
-        std::ofstream(file) << settings(number, side, service);
+        std::ofstream(file) << settings(number, zone, side, service, initial);
         if (!side)
-            std::filesystem::create_directories(folder / (ip_of(number) + ".data"));
+            std::filesystem::create_directories(data_of(number));
         pid_t parent = getpid(), pid = fork();
-        if (pid) {
-            processes.push_back(pid);
-            return;
-        }
+        if (pid)
+            return pid;
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         if (getppid() != parent || fd < 0 || dup2(fd, 1) < 0 || dup2(fd, 2) < 0)
@@ -112,12 +126,29 @@
         _exit(127);
     }
 
+    // The address of the edge that the next call goes to: those that run, in turn.
+    std::string ip_of_turn(int turn) const
+    {
+        std::vector<int> running;
+        for (const Edge &edge : edges)
+            if (edge.pid)
+                running.push_back(edge.number);
+        return ip_of(running[(size_t)turn % running.size()]);
+    }
+
   public:
-    explicit Fleet(Record &to) : record(to) {}
+    // zones: the loss of how many of them is to be borne.
+    explicit Fleet(Record &to, const std::vector<Edge> &of_edges = {{1, "north"}, {2, "north"}, {3, "north"}},
+                   const std::vector<int> &its_seeds = {1, 2, 3}, int zones = 0)
+        : record(to), edges(of_edges), seeds(its_seeds), zones_lost(zones)
+    {
+    }
     Fleet(const Fleet &) = delete;
     ~Fleet()
     {
-        for (pid_t pid : processes) {
+        for (Edge &edge : edges)
+            stop(edge);
+        for (pid_t pid : agents) {
             kill(pid, SIGKILL);
             waitpid(pid, nullptr, 0);
         }
@@ -143,11 +174,11 @@
                 port = from;
         if (!port)
             return false;
-        for (int i = 1; i <= CONTROLLERS; i++)
-            start(i, false, "");
+        for (Edge &edge : edges)
+            edge.pid = start(edge.number, edge.zone, false, "", true);
         for (size_t i = 0; i < sides.size(); i++) {
             int number = FIRST_SIDE + (int)i;
-            start(number, true, sides[i].service);
+            agents.push_back(start(number, "north", true, sides[i].service, true));
             std::string id = sides[i].service + "-" + sides[i].kind + "-" + std::to_string(i + 1);
             executors.push_back(std::make_unique<Executor>(record, ip_of(number), sides[i].service, id, sides[i].kind,
                                                            port + APP, port + OPERATORS, HOLD_MAX_MS));
@@ -162,7 +193,7 @@
     {
         int64_t until_ms = now_ms() + wait_ms;
         for (int i = 0; now_ms() < until_ms; i++, sleep_ms(200)) {
-            std::string ip = ip_of(1 + i % CONTROLLERS);
+            std::string ip = ip_of_turn(i);
             Message answer = call(ip, port + OPERATORS, "PUT", "/sagehitch/configuration",
                                   {"Host: " + ip, "If-Match: " + std::to_string(base)}, text, 1000);
             record.note("operator puts %.300s (%zu bytes) at %s: %d", text.c_str(), text.size(), ip.c_str(),
@@ -179,7 +210,7 @@
     {
         int64_t until_ms = now_ms() + wait_ms;
         for (int i = 0; now_ms() < until_ms; i++, sleep_ms(100)) {
-            std::string ip = ip_of(1 + i % CONTROLLERS);
+            std::string ip = ip_of_turn(i);
             Message answer =
                 call(ip, port + OPERATORS, "GET", "/sagehitch/configuration", {"Host: " + ip}, "", 1000);
             int64_t found = answer.status == 200 ? atoll(answer.body.c_str() + strlen("{\"revision\":")) : 0;
@@ -198,7 +229,7 @@
     {
         Message answer;
         for (int tries = 0; tries < 8 && now_ms() < until_ms; tries++, sleep_ms(150)) {
-            std::string ip = ip_of(1 + (client_turn++ % CONTROLLERS));
+            std::string ip = ip_of_turn(client_turn++);
             answer = call(ip, port + FRONTEND, method, path, {"Host: jobs.example", "Deadline-Ms: 3000"}, body, CALL_MS);
             record.note("client %s %s %s at %s: %d %s", method.c_str(), path.c_str(), body.c_str(), ip.c_str(),
                         answer.status, answer.body.c_str());
@@ -209,10 +240,44 @@
     }
     std::atomic<int> client_turn{0};
 
-    // A process that ended by itself; 0: none did.
+    // SIGKILL; returns when the process is gone.
+    void stop(Edge &edge)
+    {
+        if (!edge.pid)
+            return;
+        kill(edge.pid, SIGKILL);
+        waitpid(edge.pid, nullptr, 0);
+        edge.pid = 0;
+        record.note("%s in %s is killed", ip_of(edge.number).c_str(), edge.zone.c_str());
+    }
+    Edge &edge(size_t index) { return edges[index]; }
+    // Starts it again; empty: its disk is lost.
+    void start_again(Edge &edge, bool empty)
+    {
+        if (empty)
+            std::filesystem::remove_all(data_of(edge.number));
+        edge.pid = start(edge.number, edge.zone, false, "", false);
+        record.note("%s in %s starts%s", ip_of(edge.number).c_str(), edge.zone.c_str(), empty ? " with an empty disk" : "");
+    }
+    // Gives the place of an edge to a machine at a new address with an empty disk.
+    void replace(Edge &edge, int number)
+    {
+        stop(edge);
+        sleep_ms(1000);
+        for (int &seed : seeds)
+            seed = seed == edge.number ? number : seed;
+        edge.number = number;
+        start_again(edge, true);
+    }
+
+    // Whether a process ended by itself.
     bool a_process_ended()
     {
-        for (pid_t pid : processes)
+        std::vector<pid_t> all = agents;
+        for (const Edge &edge : edges)
+            if (edge.pid)
+                all.push_back(edge.pid);
+        for (pid_t pid : all)
             if (waitpid(pid, nullptr, WNOHANG) == pid) {
                 record.note("process %d ended by itself", (int)pid);
                 return true;
