Review case 10: a zone not heard at the first start never gets a vote

Cause: the first voters are chosen without regard to the loss of zones, and votes are never spread again.

--- a/review/src-2/cases.cc
+++ b/review/src-2/cases.cc
@@ -307,6 +307,48 @@
     return read_back && answered == JOBS ? HELD : BROKEN;
 }
 
+// A zone may be lost. The zone west is lost from 0.05 s after the first start on, for 3.5 s, its disks are kept (TROUBLE=0: it
+// is not); long after that, the zone east loses its disks and comes back.
+int late_zone(Record &record, bool trouble)
+{
+    enum { LOST_AT_MS = 50, LOST_FOR_MS = 3500, SETTLE_MS = 25000, DOWN_MS = 1200 };
+    enum { RECOVERY_MS = 12000, READ_BACK_MS = 15000, JOBS = 5 };
+    enum { EAST_1 = 2, EAST_2, WEST_1, WEST_2 };
+    Fleet fleet(record, {{1, "north"}, {2, "north"}, {3, "east"}, {4, "east"}, {5, "west"}, {6, "west"}}, {1, 2, 3}, 1);
+    if (!fleet.begin({}))
+        return CANNOT_RUN;
+    sleep_ms(LOST_AT_MS);
+    for (int i : {WEST_1, WEST_2})
+        if (trouble)
+            fleet.stop(fleet.edge((size_t)i));
+    sleep_ms(LOST_FOR_MS);
+    for (int i : {WEST_1, WEST_2})
+        if (trouble)
+            fleet.start_again(fleet.edge((size_t)i), false);
+    if (!fleet.configure(0, configuration(3, {route("r-one", "/one/", "alpha")}, {"alpha"})))
+        return CANNOT_RUN;
+    for (int i = 0; i < JOBS; i++)
+        if (fleet.client("POST", "/one/" + job_id(i), job("work=200", 1, 200)).status != 200)
+            return CANNOT_RUN;
+    sleep_ms(SETTLE_MS);
+    if (!fleet.configure(3, configuration(5, {route("r-one", "/one/", "alpha")}, {"alpha"})))
+        return CANNOT_RUN;
+    for (int i : {EAST_1, EAST_2})
+        fleet.stop(fleet.edge((size_t)i));
+    sleep_ms(DOWN_MS);
+    for (int i : {EAST_1, EAST_2})
+        fleet.start_again(fleet.edge((size_t)i), true);
+    sleep_ms(RECOVERY_MS);
+    bool read_back = fleet.read_back(5, READ_BACK_MS);
+    int answered = 0;
+    for (int i = 0; i < JOBS; i++)
+        answered += fleet.client("GET", "/one/" + job_id(i), "", now_ms() + 3000).status == 200;
+    record.note("configuration read back: %s; %d of %d jobs answered", read_back ? "yes" : "no", answered, JOBS);
+    if (fleet.a_process_ended())
+        return BROKEN;
+    return read_back && answered == JOBS ? HELD : BROKEN;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -324,6 +366,7 @@
                   : name == "reused-name"  ? reused_name(record, with_trouble)
                   : name == "new-names"    ? new_names(record, with_trouble)
                   : name == "zone"         ? replaced_in_zone(record, with_trouble)
+                  : name == "late-zone"    ? late_zone(record, with_trouble)
                                            : CANNOT_RUN;
     record.note("exit %d", outcome);
     fflush(nullptr);
