A controller that alone could replace a voter becomes a learner, whatever spares there are

Cause: add_learner() took spare learners in the order of their requests, two at most, whatever their zones; zone_allows() gave a vote only to a learner whose zone had room. With both spares in zones that had their voter, the successor never became a learner. Ruled out by the records: that it did not ask, and that it was not caught up.

Change: a controller is also taken as a learner if it could replace a voter that no present learner may replace; a learner may replace a voter if no more voters are above the limit of their zone than before, so always within one zone. Zones of voters are a module of their own. Nothing changes where no zone may be lost. The simulator can have deployments that bear the loss of a zone.

Why it works: every voter has a learner that may replace it, or the first controller that could be one is added at once, before the voter's silence counts as a failure.

--- a/sim/cluster.c
+++ b/sim/cluster.c
@@ -105,7 +105,7 @@
                                      .disk = host->with_disk,
                                      .first_start = first_start,
                                      .machines_lost = cluster->machines_lost,
-                                     .zones_lost = 0,
+                                     .zones_lost = cluster->zones_lost,
                                      .boot = boot_now(host),
                                      .grace_ms = 6000,
                                      .dispatch = dispatch_settings,
--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -135,6 +135,8 @@
     int64_t loss_pct, slow_link_ms;
     struct cluster_log log;
     int64_t machines_lost;           /* how many may be lost at once: a setting of the controllers */
+    int64_t zones_lost;              /* how many zones may be lost at once: likewise */
+    int64_t zones;                   /* number of zones; hosts are added to them in turn */
     int64_t n_events[10000];         /* by event number, over all hosts */
     int64_t reset_pct, max_delay_ms; /* share of frames that are lost; delay of frames, at most */
     struct cluster_call *calls;
@@ -171,6 +173,7 @@
 struct cluster_options {
     int disks, diskless, agents, machines_lost, orders_by_heartbeat;
     struct cluster_log log;
+    int zones_lost, zones;
 };
 void cluster_start_with_options(struct cluster *cluster, uint64_t seed, const struct cluster_options *options);
 /* The disk of the first controller has this fault from the first start on, for fault_ms. */
--- a/sim/cluster_run.c
+++ b/sim/cluster_run.c
@@ -4,10 +4,14 @@
 
 #include "sim/cluster.h"
 
+enum { ZONES = 3 };
+
 static void begin(struct cluster *cluster, uint64_t seed, const struct cluster_options *options)
 {
     memset(cluster, 0, sizeof *cluster);
     cluster->machines_lost = options->machines_lost ? options->machines_lost : 1;
+    cluster->zones_lost = options->zones_lost;
+    cluster->zones = options->zones ? options->zones : ZONES;
     cluster->orders_by_heartbeat = options->orders_by_heartbeat;
     cluster->log = options->log;
     cluster->state = hash_mix(seed, 0xc1057e);
@@ -19,14 +23,14 @@
 static void add_hosts(struct cluster *cluster, const struct cluster_options *options)
 {
     for (int i = 0; i < options->disks; i++) {
-        struct host *host = cluster_add(cluster, HOST_CONTROLLER, 1, i % 3);
+        struct host *host = cluster_add(cluster, HOST_CONTROLLER, 1, i % (int)cluster->zones);
         if (cluster->n_seeds < 3)
             cluster->seeds[cluster->n_seeds++] = (int64_t)host->base.self;
     }
     for (int i = 0; i < options->diskless; i++)
-        cluster_add(cluster, HOST_CONTROLLER, 0, i % 3);
+        cluster_add(cluster, HOST_CONTROLLER, 0, i % (int)cluster->zones);
     for (int i = 0; i < options->agents; i++)
-        cluster_add(cluster, HOST_AGENT, 0, i % 3);
+        cluster_add(cluster, HOST_AGENT, 0, i % (int)cluster->zones);
     cluster->disks = options->disks;
 }
 
--- a/src/controller/members.c
+++ b/src/controller/members.c
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "base/events.h"
 #include "controller/controller_state.h"
+#include "controller/voter_zones.h"
 
 enum {
     FAILED_AFTER_MS = 2500, /* silence after which a member counts as failed */
@@ -15,7 +16,7 @@
     NO_LEADER_MS = 1500,    /* time without a leader after which a member asks to join again */
     SUSPENDED_MS = 500,     /* a longer gap between two timers means that the process was suspended or blocked by I/O */
     REPAIR_LATE_MS = 3000,  /* event 2016 is raised for a membership change that waits longer than this */
-    SPARE_LEARNERS = 2      /* number of spare learners, not counting learners at the address of a voter */
+    SPARE_LEARNERS = 2      /* learners from any zone, not counting those at the address of a voter */
 };
 
 /* Records a request to join, at the leader. If the table is full, the oldest request is replaced. */
@@ -78,38 +79,32 @@
     return log_caught_up(&controller->log, member->id);
 }
 
-/* Number of voters in a zone, not counting without (may be NULL). */
-static int64_t voters_in_zone(const struct controller *controller, const char *zone, const struct log_member *without)
+static int64_t zone_limit(const struct controller *controller)
 {
-    int64_t n = 0;
-    for (int64_t i = 0; i < controller->log.members.n; i++) {
-        const struct log_member *member = &controller->log.members.members[i];
-        n += member != without && log_votes_after_change(member) && !strcmp(member->zone, zone);
-    }
-    return n;
+    return voter_zones_limit(controller_voters_wanted(controller, INT64_MAX), controller->setup.zones_lost);
 }
 
-/* Whether the learner's zone has room for a voter that replaces failed. The number of voters in a zone is limited so
- * that a majority survives the loss of the configured number of zones. */
-static int zone_allows(const struct controller *controller, const struct log_member *learner,
-                       const struct log_member *failed)
+/* Whether a voter from this zone may replace former, or be added if former is NULL. */
+static int zone_allows(const struct controller *controller, const char *zone, const struct log_member *former)
 {
-    int64_t wanted = controller_voters_wanted(controller, INT64_MAX);
-    int64_t voters_max = controller->setup.zones_lost ? (wanted - 1) / 2 / controller->setup.zones_lost : wanted;
-    return voters_in_zone(controller, learner->zone, failed) < voters_max;
+    const struct log_members *members = &controller->log.members;
+    if (former)
+        return voter_zones_may_replace(members, zone, former, zone_limit(controller));
+    return voter_zones_count(members, zone, NULL) < zone_limit(controller);
 }
 
-/* Returns the learner that should become a voter next, from the zone with the fewest voters; NULL: none. failed: the
+/* Returns the learner that should become a voter next, from the zone with the fewest voters; NULL: none. former: the
  * voter that it replaces, or NULL. */
-static const struct log_member *best_learner(struct controller *controller, const struct log_member *failed)
+static const struct log_member *best_learner(struct controller *controller, const struct log_member *former)
 {
+    const struct log_members *members = &controller->log.members;
     const struct log_member *best = NULL;
-    for (int64_t i = 0; i < controller->log.members.n; i++) {
-        const struct log_member *member = &controller->log.members.members[i];
+    for (int64_t i = 0; i < members->n; i++) {
+        const struct log_member *member = &members->members[i];
         if (member->voter || is_failed(controller, member) || !is_caught_up(controller, member) ||
-            !zone_allows(controller, member, failed))
+            !zone_allows(controller, member->zone, former))
             continue;
-        if (!best || voters_in_zone(controller, member->zone, failed) < voters_in_zone(controller, best->zone, failed))
+        if (!best || voter_zones_count(members, member->zone, former) < voter_zones_count(members, best->zone, former))
             best = member;
     }
     return best;
@@ -128,7 +123,40 @@
     return 0;
 }
 
-/* Adds one of the controllers that asked to join, as a learner. */
+/* Whether a learner that has not failed may replace the voter. */
+static int has_successor(struct controller *controller, const struct log_member *voter)
+{
+    for (int64_t i = 0; i < controller->log.members.n; i++) {
+        const struct log_member *member = &controller->log.members.members[i];
+        if (!member->voter && !is_failed(controller, member) && zone_allows(controller, member->zone, voter))
+            return 1;
+    }
+    return 0;
+}
+
+/* Whether a learner from this zone could replace a voter that no present learner may replace. */
+static int is_only_successor(struct controller *controller, const char *zone)
+{
+    for (int64_t i = 0; i < controller->log.members.n; i++) {
+        const struct log_member *voter = &controller->log.members.members[i];
+        if (log_votes_after_change(voter) && zone_allows(controller, zone, voter) && !has_successor(controller, voter))
+            return 1;
+    }
+    return 0;
+}
+
+static int is_voter_address(const struct controller *controller, int64_t addr)
+{
+    for (int64_t i = 0; i < controller->log.members.n; i++) {
+        const struct log_member *member = &controller->log.members.members[i];
+        if (log_votes_after_change(member) && member->addr == addr)
+            return 1;
+    }
+    return 0;
+}
+
+/* Adds one of the controllers that asked to join, as a learner: at the address of a voter, among the first
+ * SPARE_LEARNERS, or if it could replace a voter that no other learner may replace. */
 static void add_learner(struct controller *controller, int detects_failures)
 {
     struct log *log = &controller->log;
@@ -137,12 +165,10 @@
         learners += !log->members.members[i].voter;
     for (int64_t i = 0; i < controller->n_join_requests; i++) {
         const struct join *request = &controller->join_requests[i].join;
-        int at_voter_address = 0;
-        for (int64_t k = 0; k < log->members.n; k++)
-            at_voter_address |=
-                log_votes_after_change(&log->members.members[k]) && log->members.members[k].addr == request->addr;
-        if (log_member(log, request->id) || now_ms - controller->join_requests[i].heard_ms > FAILED_AFTER_MS ||
-            ((learners >= SPARE_LEARNERS || !detects_failures) && !at_voter_address))
+        if (log_member(log, request->id) || now_ms - controller->join_requests[i].heard_ms > FAILED_AFTER_MS)
+            continue;
+        int is_spare = detects_failures && (learners < SPARE_LEARNERS || is_only_successor(controller, request->zone));
+        if (!is_spare && !is_voter_address(controller, request->addr))
             continue;
         log_change_member(log, request->id, request->addr, request->zone, LOG_LEARNER, 0);
         return;
--- a/tests/sim/cluster_cuts_test.cc
+++ b/tests/sim/cluster_cuts_test.cc
@@ -22,7 +22,7 @@
     {
         for (uint64_t seed : seeds(fixed)) {
             SCOPED_TRACE("seed " + std::to_string(seed));
-            Cluster s(seed, {voters, 1, 8, voters / 2, std::get<1>(GetParam()) == BY_BEAT, {}});
+            Cluster s(seed, {voters, 1, 8, voters / 2, std::get<1>(GetParam()) == BY_BEAT, {}, 0, 0});
             s.seed_ = seed;
             callers_load(&s.c, 3, CUT_MS + 6000);
             operators_run(s, 2000, 8);
--- a/tests/sim/cluster_disk_faults_test.cc
+++ b/tests/sim/cluster_disk_faults_test.cc
@@ -102,7 +102,7 @@
     for (uint64_t seed : seeds(4)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         int64_t ms = 200 + (int64_t)(hash_mix(seed, 1) % FAULT_MAX_MS);
-        Cluster s(seed, {CORES, 1, 8, 1, 0, {}}, fault(), ms);
+        Cluster s(seed, {CORES, 1, 8, 1, 0, {}, 0, 0}, fault(), ms);
         s.c.fault_free = 0;
         s.run(RECOVERED_MS);
         callers_load(&s.c, 5, 8000);
--- a/tests/sim/cluster_executor_leavers_test.cc
+++ b/tests/sim/cluster_executor_leavers_test.cc
@@ -52,7 +52,7 @@
 {
     for (uint64_t seed : seeds(4)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        Cluster s(seed, {3, 1, EXECUTORS, 1, GetParam(), {}});
+        Cluster s(seed, {3, 1, EXECUTORS, 1, GetParam(), {}, 0, 0});
         executors_leave(s);
         s.close();
     }
--- a/tests/sim/cluster_given_up_test.cc
+++ b/tests/sim/cluster_given_up_test.cc
@@ -31,7 +31,7 @@
 {
     for (uint64_t seed : seeds(8)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        Cluster s(seed, {CORES, OUTER, 8, 1, 0, {}});
+        Cluster s(seed, {CORES, OUTER, 8, 1, 0, {}, 0, 0});
         callers_load(&s.c, 3, 20000);
         s.run(2000);
         s.c.fault_free = 0;
--- a/tests/sim/cluster_resets_test.cc
+++ b/tests/sim/cluster_resets_test.cc
@@ -50,7 +50,7 @@
 {
     for (uint64_t seed : seeds(1)) {
         SCOPED_TRACE("seed " + std::to_string(seed));
-        Cluster s(seed, {3, 1, 8, 1, orders_by_heartbeat(seed), {}});
+        Cluster s(seed, {3, 1, 8, 1, orders_by_heartbeat(seed), {}, 0, 0});
         s.seed_ = seed;
         s.run(INHERIT_MS);
         callers_load(&s.c, 8, 12000);
--- a/tests/sim/cluster_run.h
+++ b/tests/sim/cluster_run.h
@@ -17,7 +17,7 @@
   public:
     struct cluster c;
     explicit Cluster(uint64_t seed, int agents = 8, int diskless = 1)
-        : Cluster(seed, cluster_options{3, diskless, agents, 1, 0, {}})
+        : Cluster(seed, cluster_options{3, diskless, agents, 1, 0, {}, 0, 0})
     {
     }
     Cluster(uint64_t seed, const cluster_options &options)
