A failed voter that nobody may replace does not keep others from being replaced

What callers saw: two zones may be lost, five voters; two are lost, one of them is replaced, the other stays away. The vote of the replaced one was not passed on, and with a third zone away nothing was acknowledged.

Cause: failed_voter() names one failed voter, and a successor was looked for only for that one; likewise for voters replaced at their own address.

Change: replace_failed_voter() goes through all failed voters and replaces the first that has a successor; the two ways of finding one (at the address, from the zones) share it.

--- a/src/controller/members.c
+++ b/src/controller/members.c
@@ -19,6 +19,8 @@
     SPARE_LEARNERS = 2      /* learners from any zone, not counting those at the address of a voter */
 };
 
+typedef int member_check(struct controller *controller, const struct log_member *member);
+
 /* Records a request to join, at the leader. If the table is full, the oldest request is replaced. */
 void members_on_join(struct controller *controller, const struct join *join)
 {
@@ -110,15 +112,32 @@
     return best;
 }
 
-/* Passes the vote of failed to a learner at the same address. Uses an exchange, since the old disk may come back, as on
- * a machine that was once started without it. Returns 1 if the change was proposed. */
-static int replace_at_address(struct controller *controller, const struct log_member *failed)
+/* Returns the learner at the address of the voter; NULL: none, or it has failed or is not caught up. */
+static const struct log_member *learner_at_address(struct controller *controller, const struct log_member *voter)
 {
     for (int64_t i = 0; i < controller->log.members.n; i++) {
         const struct log_member *member = &controller->log.members.members[i];
-        if (!member->voter && member->addr == failed->addr && member->id != failed->id &&
+        if (!member->voter && member->addr == voter->addr && member->id != voter->id &&
             !is_failed(controller, member) && is_caught_up(controller, member))
-            return !log_exchange(&controller->log, failed->id, member->id);
+            return member;
+    }
+    return NULL;
+}
+
+/* Passes the vote of a failed voter to a learner that find_learner() returns. A voter without one keeps no other from
+ * being replaced. Uses an exchange, since the old disk may come back, as on a machine that was once started without it.
+ * Returns 1 if the change was proposed. */
+static int replace_failed_voter(struct controller *controller, member_check *has_failed,
+                                const struct log_member *(*find_learner)(struct controller *controller,
+                                                                         const struct log_member *voter))
+{
+    for (int64_t i = 0; i < controller->log.members.n; i++) {
+        const struct log_member *voter = &controller->log.members.members[i];
+        if (!log_votes_after_change(voter) || !has_failed(controller, voter))
+            continue;
+        const struct log_member *learner = find_learner(controller, voter);
+        if (learner)
+            return !log_exchange(&controller->log, voter->id, learner->id);
     }
     return 0;
 }
@@ -175,8 +194,7 @@
     }
 }
 
-/* Returns the failed voter to replace first; NULL: no voter has failed. *failed_learner is set to a failed learner, if
- * there is one. */
+/* Returns a failed voter; NULL: no voter has failed. *failed_learner is set to a failed learner, if there is one. */
 static const struct log_member *failed_voter(struct controller *controller, int detects_failures,
                                              const struct log_member **failed_learner)
 {
@@ -234,18 +252,16 @@
         log_change_member(log, failed_learner->id, failed_learner->addr, NULL, 0, 1);
         return;
     }
-    if (failed && replace_at_address(controller, failed))
+    if (replace_failed_voter(controller, detects_failures ? is_failed : is_replaced_at_address, learner_at_address))
         return;
     if (!detects_failures) {
         add_learner(controller, detects_failures);
         return;
     }
-    learner = best_learner(controller, failed);
-    if (failed && learner && voters <= wanted) {
-        log_exchange(log, failed->id, learner->id);
+    if (voters <= wanted && replace_failed_voter(controller, is_failed, best_learner))
         return;
-    }
-    if (!failed && learner && voters < wanted) {
+    learner = failed ? NULL : best_learner(controller, NULL);
+    if (learner && voters < wanted) {
         log_change_member(log, learner->id, learner->addr, learner->zone, LOG_VOTER, 0);
         return;
     }
--- a/tests/sim/cluster_zones_test.cc
+++ b/tests/sim/cluster_zones_test.cc
@@ -20,7 +20,8 @@
 class Zones : public Cluster
 {
   public:
-    Zones(uint64_t seed, int disks, int zones = 3) : Cluster(seed, options_of(disks, zones))
+    Zones(uint64_t seed, int disks, int zones = 3, int zones_lost = 1)
+        : Cluster(seed, options_of(disks, zones, zones_lost))
     {
         seed_ = seed;
         callers_load(&c, 2, 15000);
@@ -92,11 +93,11 @@
     }
 
   private:
-    static cluster_options options_of(int disks, int zones)
+    static cluster_options options_of(int disks, int zones, int zones_lost)
     {
         cluster_options options = {};
         options.disks = disks, options.diskless = 1, options.agents = 6;
-        options.zones_lost = 1, options.zones = zones;
+        options.zones_lost = zones_lost, options.zones = zones;
         return options;
     }
 };
@@ -163,3 +164,25 @@
         cluster.close();
     }
 }
+
+// Guards against a lost voter that nobody may replace and that keeps another one from being replaced: of two zones that
+// are lost, one is replaced; the other one stays away while a third is lost.
+TEST(ClusterZones, VoteIsPassedOnWhileAnotherZoneStaysAway)
+{
+    for (uint64_t seed : seeds(8)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Zones cluster(seed, 10, 5, 2);
+        int64_t away = cluster_pick(&cluster.c, 5), replaced = (away + 1 + cluster_pick(&cluster.c, 4)) % 5, third = 0;
+        while (third == away || third == replaced)
+            third++;
+        cluster.kill_zone(zone_name(away).c_str());
+        cluster.run(cluster_pick(&cluster.c, 500));
+        cluster.replace_zone(zone_name(replaced).c_str());
+        cluster.run(CATCH_UP_MS);
+        cluster.kill_zone(zone_name(third).c_str());
+        cluster.expect_acknowledged("a third zone was lost");
+        cluster.boot_zone(zone_name(third).c_str());
+        cluster.boot_zone(zone_name(away).c_str());
+        cluster.close();
+    }
+}
