A job is found by the route by which it was accepted, not by the name of its queue

Cause: requested_job_queue() compared names: the queue that has the path now against the job's queue. The record had one entry a name, so a name that came back made the former queue current at the new place, and its jobs got the settings and the service of the new one. Ruled out: that the job had left the record, and the relay, which only forwards.

Change: a job keeps the route by which it was accepted once its queue moves; a request by that route is about the job, whichever queue has it now. A name that comes back at another place is of a new queue.

--- a/src/dispatch/job.c
+++ b/src/dispatch/job.c
@@ -53,6 +53,9 @@
                                                    INT_NAMED(queue_config, timeout_ms, "timeoutMs")};
 SCHEMA(queue_config_schema, queue_config, queue_config_fields);
 
+static const struct field queue_route_fields[] = {STR(queue_route, host), STR(queue_route, prefix)};
+SCHEMA(queue_route_schema, queue_route, queue_route_fields);
+
 static const struct field service_config_fields[] = {STR(service_config, name),
                                                      STR_NAMED(service_config, health_path, "healthPath"),
                                                      BOOL_NAMED(service_config, checks_capacity, "guards")};
@@ -148,12 +151,18 @@
     return 1;
 }
 
-/* Adds the host, in lower case, and the prefix of a queue; returns 0 if another queue has both. */
-static int add_route(Pvoid_t *routes, const struct queue_config *queue)
+char *queue_route_key(const struct queue_config *queue)
 {
     char *route_key = must_printf("%s\n%s", queue->host, queue->prefix);
     for (char *c = route_key; *c != '\n'; c++)
         *c = (char)tolower((unsigned char)*c);
+    return route_key;
+}
+
+/* Adds the route of a queue; returns 0 if another queue has it. */
+static int add_route(Pvoid_t *routes, const struct queue_config *queue)
+{
+    char *route_key = queue_route_key(queue);
     int added = add_name(routes, route_key);
     free(route_key);
     return added;
--- a/src/dispatch/job.h
+++ b/src/dispatch/job.h
@@ -50,6 +50,10 @@
                                      * longest chain of steps */
     int64_t timeout_ms;             /* how long callers wait for a response */
 };
+/* Where requests reach a queue. */
+struct queue_route {
+    char *host, *prefix; /* the case of host does not matter */
+};
 /* A service: the kind of executors that run the jobs of a queue. */
 struct service_config {
     char *name;
@@ -75,7 +79,7 @@
 /* Schemas of struct job_spec and struct step_spec. submission_without_outlet_schema leaves out the outlet, so that
  * hashes and comparisons of jobs without an outlet are the same as before outlets were introduced. */
 extern const struct schema submission_step_schema, submission_schema, submission_without_outlet_schema;
-extern const struct schema queue_config_schema, service_config_schema, config_schema;
+extern const struct schema queue_config_schema, queue_route_schema, service_config_schema, config_schema;
 
 /* Validate a job or a configuration, independently of the codec that decoded it. Return 0, or an error, with the
  * invalid member in validation_error (may be NULL). */
@@ -84,6 +88,9 @@
 /* The number of tasks in one repetition; the number of repetitions. */
 int64_t job_spec_tasks(const struct job_spec *spec);
 int64_t job_spec_repetitions(const struct job_spec *spec);
+/* A text, freed by the caller, that two queues share only if they have the same route: the host in lower case, and the
+ * prefix. */
+char *queue_route_key(const struct queue_config *queue);
 /* The index of the queue with this host (case is ignored) and the longest prefix of path; -1: none. */
 int64_t config_route(const struct config *config, const char *host, const char *path);
 #endif
--- a/src/dispatch/leader_requests.c
+++ b/src/dispatch/leader_requests.c
@@ -3,7 +3,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "base/error.h"
 #include "dispatch/leader_state.h"
@@ -29,35 +28,34 @@
     return NULL;
 }
 
-/* The queue of the job, if the newest configuration no longer has it and the request's host and path match it; else
- * NULL. */
-static const struct queue_config *removed_queue(const struct dispatch *dispatch, const struct job *job,
-                                                const struct api_request *request)
-{
-    const struct queue *queue = job ? &dispatch->record->queues[job->queue] : NULL;
-    const char *prefix = queue && queue->removed ? queue->config.prefix : NULL;
-    return prefix && request->host && request->path && !strncmp(request->path, prefix, strlen(prefix)) &&
-                   !strcasecmp(request->host, queue->config.host)
-               ? &queue->config
-               : NULL;
-}
-
-/* The queue of a request about a job; NULL: the request was answered with an error. already_accepted: the same request
- * was accepted before. A job of a removed queue can still be reached by its path if that path belongs to another queue
- * now. If the path belongs to no queue, the request is not carried out; a request that was accepted before is then
- * answered with ERROR_OUTCOME_UNKNOWN, since a refusal would say that it had not been accepted. */
+/* The queue of a request about a job; NULL: the request was answered with an error. The queue is the job's own if the
+ * request came by the route by which the job was accepted, whichever queue has that route now, or if the route is of a
+ * queue of the same name; else it is the queue that has the route. If no queue has the route, the request is not
+ * carried out. already_accepted: the same request was accepted before; it is then answered with ERROR_OUTCOME_UNKNOWN,
+ * since a refusal would say that it had not been accepted. */
 static const struct queue_config *requested_job_queue(struct dispatch *dispatch, int64_t ticket,
                                                       const struct api_request *request, const struct job *job,
                                                       int already_accepted)
 {
-    const struct config *config = &dispatch->record->config;
-    const struct queue_config *removed = removed_queue(dispatch, job, request);
-    if (removed && config->version && config_route(config, request->host, request->path) >= 0)
-        return removed;
-    if (!removed || !already_accepted)
+    const struct record *record = dispatch->record;
+    const struct config *config = &record->config;
+    int is_reached = job && job_is_reached(record, job, request->host, request->path);
+    int64_t route = config->version ? config_route(config, request->host, request->path) : -1;
+    if (route < 0 && is_reached && already_accepted) {
+        dispatch_answer(dispatch, ticket, request->kind, ERROR_OUTCOME_UNKNOWN,
+                        "accepted before its queue was removed");
+        return NULL;
+    }
+    if (route < 0)
         return requested_queue(dispatch, ticket, request);
-    dispatch_answer(dispatch, ticket, request->kind, ERROR_OUTCOME_UNKNOWN, "accepted before its queue was removed");
-    return NULL;
+    const struct queue_config *own = job ? &record->queues[job->queue].config : NULL;
+    return own && (is_reached || !strcmp(own->name, config->queues[route].name)) ? own : &config->queues[route];
+}
+
+/* Whether this queue, from requested_job_queue(), is the job's own. */
+static int is_queue_of(const struct dispatch *dispatch, const struct queue_config *queue, const struct job *job)
+{
+    return job && queue == &dispatch->record->queues[job->queue].config;
 }
 
 /* Whether there is no memory for one more job of this size. A larger one leaves half of it to small ones, so that a few
@@ -72,9 +70,9 @@
 static void request_job(struct dispatch *dispatch, int64_t ticket, const struct api_request *request)
 {
     const struct job_spec *spec = api_request_job(request);
-    const struct job *job = record_job(dispatch->record, spec->id);
-    const struct queue_config *removed = removed_queue(dispatch, job, request);
-    int already_accepted = removed && job_same(job, spec, removed->name);
+    const struct record *record = dispatch->record;
+    const struct job *job = record_job(record, spec->id);
+    int already_accepted = job && job_same(job, spec, record->queues[job->queue].config.name);
     const struct queue_config *queue = requested_job_queue(dispatch, ticket, request, job, already_accepted);
     if (!queue)
         return;
@@ -102,7 +100,7 @@
     const struct queue_config *queue = requested_job_queue(dispatch, ticket, request, job, already_accepted);
     if (!queue)
         return NULL;
-    if (job && !strcmp(dispatch->record->queues[job->queue].config.name, queue->name))
+    if (is_queue_of(dispatch, queue, job))
         return job;
     dispatch_answer(dispatch, ticket, request->kind, ERROR_GONE, "no such job");
     return NULL;
--- a/src/dispatch/record.c
+++ b/src/dispatch/record.c
@@ -95,6 +95,7 @@
 void job_free(struct job *job)
 {
     job_free_rows(job);
+    job_route_free(job);
     free(job->rules);
     free(job);
 }
@@ -160,14 +161,6 @@
     *at = (Pvoid_t)(Word_t)(incarnation + 1);
 }
 
-int64_t record_queue(const struct record *record, const char *name)
-{
-    for (int64_t i = 0; name && i < record->n_queues; i++)
-        if (!strcmp(record->queues[i].config.name, name))
-            return i;
-    return -1;
-}
-
 void record_notify(struct record *record, struct job *job, int64_t row_index)
 {
     if (record->changed)
--- a/src/dispatch/record.h
+++ b/src/dispatch/record.h
@@ -34,11 +34,12 @@
     int64_t queue, state, tasks, repetitions, accepted_ms, ended_ms, n_placed, n_done;
     int64_t *first, *unfinished, *waiting, *last_failed_attempts; /* one allocation, owned by first */
     struct row *rows;
-    struct job *next, *prev; /* live jobs, in order of acceptance */
-    int64_t index;           /* sequence number, in order of acceptance */
-    int64_t live_bytes;      /* record_job_bytes() of spec while it is live, else 0 */
-    uint64_t spec_hash;      /* of spec and the queue's name */
-    struct job_rules *rules; /* rules of its outlet when it was accepted; NULL: it belongs to no outlet */
+    struct job *next, *prev;   /* live jobs, in order of acceptance */
+    int64_t index;             /* sequence number, in order of acceptance */
+    int64_t live_bytes;        /* record_job_bytes() of spec while it is live, else 0 */
+    uint64_t spec_hash;        /* of spec and the queue's name */
+    struct job_rules *rules;   /* rules of its outlet when it was accepted; NULL: it belongs to no outlet */
+    struct queue_route *route; /* by which it was accepted; NULL: the route that its queue has */
 };
 
 /* An incarnation (one start of an executor) on which rows were placed. Invariant: placed is the number of PLACED rows
@@ -49,7 +50,8 @@
 };
 
 /* A queue that jobs refer to. config is taken from the newest configuration that has it; removed is set if that is not
- * the current one. Entries are never deleted, so their indices are stable. */
+ * the current one. Entries are never deleted, so their indices are stable; several removed ones may have the same name,
+ * see record_queues.c. */
 struct queue {
     struct queue_config config;
     int64_t removed, live; /* live: number of its live jobs */
@@ -112,10 +114,14 @@
 int64_t record_job_bytes(const struct job_spec *spec);
 /* The job with this id, NULL: none; the pointer is valid until the job is removed. */
 struct job *record_job(const struct record *record, int64_t id);
-/* The index of the incarnation or queue of this name. */
-int64_t record_incarnation(const struct record *record,
-                           const char *name);                        /* -1: never known, or its entry was reused */
-int64_t record_queue(const struct record *record, const char *name); /* -1: never known */
+/* The index of the incarnation of this name, -1: never known, or its entry was reused. */
+int64_t record_incarnation(const struct record *record, const char *name);
+/* The index of the queue of this name: the current one, else one that was removed; -1: never known. */
+int64_t record_queue(const struct record *record, const char *name);
+/* Whether this is the route of the queue. */
+int queue_has_route(const struct queue_config *queue, const char *host, const char *prefix);
+/* Whether requests to this host and path reached the queue of the job when it was accepted. */
+int job_is_reached(const struct record *record, const struct job *job, const char *host, const char *path);
 /* Whether submitting spec to the queue of this name is the same request as the one that created the job. */
 int job_same(const struct job *job, const struct job_spec *spec, const char *queue);
 /* Whether the job is done, failed or cancelled. It may still have rows, see struct job. */
--- a/src/dispatch/record_internal.h
+++ b/src/dispatch/record_internal.h
@@ -26,6 +26,14 @@
 /* Removes a job that is no longer live from the index, calls changed and frees the job. */
 void record_forget(struct record *record, struct job *job);
 
+/* record_queues.c */
+/* Updates the queues to a new configuration. */
+void record_replace_queues(struct record *record, const struct config *config);
+/* Whether op is the submission that created the job, sent once or again. */
+int job_is_submitted_by(const struct record *record, const struct job *job, const struct job_op *op);
+/* Frees the route by which a job was accepted, if it has one of its own. */
+void job_route_free(struct job *job);
+
 /* record_ops.c */
 /* Unlinks a job that is over and frees its rows, unless some of them are still PLACED. Returns whether it did. */
 int job_release(struct record *record, struct job *job);
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -15,23 +15,7 @@
 {
     schema_free(&config_schema, &record->config);
     schema_copy(&config_schema, &record->config, config);
-    record->queues =
-        must_grow(record->queues, sizeof *record->queues * (size_t)(record->n_queues + config->n_queues + 1));
-    Pvoid_t numbers = NULL; /* JudySL: name -> 1 + index into queues; names in a configuration are unique */
-    for (int64_t i = 0; i < record->n_queues; i++) {
-        record->queues[i].removed = 1;
-        *JudySLIns(&numbers, (const uint8_t *)record->queues[i].config.name, PJE0) = (Pvoid_t)(Word_t)(i + 1);
-    }
-    for (int64_t i = 0; i < config->n_queues; i++) {
-        PPvoid_t known_number = JudySLGet(numbers, (const uint8_t *)config->queues[i].name, PJE0);
-        struct queue *queue = &record->queues[known_number ? (int64_t)(Word_t)*known_number - 1 : record->n_queues++];
-        if (!known_number)
-            *queue = (struct queue){0};
-        schema_free(&queue_config_schema, &queue->config);
-        schema_copy(&queue_config_schema, &queue->config, &config->queues[i]);
-        queue->removed = 0;
-    }
-    JudySLFreeArray(&numbers, PJE0);
+    record_replace_queues(record, config);
 }
 
 static enum sagehitch_error apply_config(struct record *record, const struct record_op *op)
@@ -83,14 +67,13 @@
 }
 
 /* Fills *rules with the rules of the job's outlet, owned by the caller; leaves it unchanged if the job has none. */
-static enum sagehitch_error job_rules_resolve(const struct record *record, const struct job_op *op,
-                                              struct job_rules **rules)
+static enum sagehitch_error job_rules_resolve(const struct record *record, const struct job_spec *spec,
+                                              const char *queue, struct job_rules **rules)
 {
-    const struct job_spec *spec = &op->spec;
     if (!record->rules.n_outlets && !spec->outlet)
         return ERROR_NONE;
     int64_t outlet =
-        spec->outlet ? rules_outlet(&record->rules, spec->outlet) : rules_outlet_of_queue(&record->rules, op->queue);
+        spec->outlet ? rules_outlet(&record->rules, spec->outlet) : rules_outlet_of_queue(&record->rules, queue);
     if (outlet < 0)
         return spec->outlet ? ERROR_NOT_FOUND : ERROR_NONE;
     *rules = job_rules_new(&record->rules, outlet);
@@ -111,11 +94,12 @@
     struct job *job = record_job(record, op->spec.id);
     int64_t queue = record_queue(record, op->queue);
     if (job)
-        return job->queue == queue && job_same(job, &op->spec, op->queue) ? ERROR_NONE : ERROR_KEY_TAKEN;
+        return job_is_submitted_by(record, job, op) ? ERROR_NONE : ERROR_KEY_TAKEN;
     if (queue < 0 || record->queues[queue].removed)
         return ERROR_NOT_FOUND;
+    const char *queue_name = record->queues[queue].config.name;
     struct job_rules *rules = NULL;
-    rc = job_rules_resolve(record, op, &rules);
+    rc = job_rules_resolve(record, &op->spec, queue_name, &rules);
     if (rc)
         return rc;
     job = must_alloc(sizeof *job);
@@ -124,7 +108,7 @@
     job->queue = queue;
     job->state = JOB_PENDING;
     job->accepted_ms = at_ms;
-    job->spec_hash = job_hash(&op->spec, op->queue);
+    job->spec_hash = job_hash(&op->spec, queue_name);
     job->index = record->next_index++;
     job_alloc_rows(job);
     record_index_job(record, job);
--- a/src/dispatch/record_snapshot.c
+++ b/src/dispatch/record_snapshot.c
@@ -40,6 +40,7 @@
     int64_t *counted;
     int64_t n_counted;
     struct job_rules *rules; /* of all jobs that belong to an outlet; NULL: the job belongs to none */
+    struct queue_route *route;
 };
 
 static const struct field queue_fields[] = {SUB(stored_queue, config, queue_config_schema),
@@ -83,7 +84,8 @@
                                           PTR(stored_job, spec, submission_schema),
                                           LIST(stored_job, rows, n_rows, stored_row_schema),
                                           INTS(stored_job, counted, n_counted),
-                                          PTR(stored_job, rules, job_rules_schema)};
+                                          PTR(stored_job, rules, job_rules_schema),
+                                          PTR(stored_job, route, queue_route_schema)};
 static SCHEMA(stored_job_schema, stored_job, job_fields);
 
 /* --- packing ------------------------------------------------------------ */
@@ -115,7 +117,8 @@
                                 .ended_ms = job->ended_ms,
                                 .index = job->index,
                                 .hash = (int64_t)job->spec_hash,
-                                .rules = job->rules};
+                                .rules = job->rules,
+                                .route = job->route};
     int64_t n = 0;
     if (job->rows) {
         stored.spec = (struct job_spec *)&job->spec;
@@ -245,7 +248,8 @@
     if (rc)
         return rc;
     if (stored.queue < 0 || stored.queue >= record->n_queues || record_job(record, stored.id) ||
-        (stored.rules && (stored.rules->outlet < 0 || stored.rules->outlet >= record->rules.n_outlets))) {
+        (stored.rules && (stored.rules->outlet < 0 || stored.rules->outlet >= record->rules.n_outlets)) ||
+        (stored.route && (!stored.route->host || !stored.route->prefix))) {
         schema_free(&stored_job_schema, &stored);
         return ERROR_BAD_FRAME;
     }
@@ -260,8 +264,10 @@
                         .ended_ms = stored.ended_ms,
                         .index = stored.index,
                         .spec_hash = (uint64_t)stored.hash,
-                        .rules = stored.rules};
+                        .rules = stored.rules,
+                        .route = stored.route};
     stored.rules = NULL;
+    stored.route = NULL;
     if (live)
         rc = restore_live_job(record, job, &stored);
     schema_free(&stored_job_schema, &stored);
@@ -279,9 +285,11 @@
 {
     if (head->config.version && config_check(&head->config, NULL))
         return 0;
-    for (int64_t i = 0; i < head->n_queues; i++)
-        if (!head->queues[i].config.name)
+    for (int64_t i = 0; i < head->n_queues; i++) {
+        const struct queue_config *queue = &head->queues[i].config;
+        if (!queue->name || !queue->host || !queue->prefix)
             return 0;
+    }
     for (int64_t i = 0; i < head->n_incarnations; i++)
         if (!head->incarnations[i].name)
             return 0;
