A submission that a configuration overtakes goes to the queue that has its route

What callers saw: a job is submitted while a change is being committed that gives its path to another queue, or the queue another name: 404, though the path had a queue all the time (CONFIG). If the name was at another path by then, the job ended up in the queue at that path.

Cause: the leader looked up the queue at arrival and proposed its name, which was resolved again behind the change when the entry was applied.

Change: OP_JOB names the route (host, prefix; two members at the end of an op). Applied, the job goes to the queue that is named if it has the route, else to the one that has it; 503 if only a shorter prefix covers the path, 404 if none does. A submission sent again is known by its route, too.

Routes.SubmissionThatAConfigurationOvertakesGoesByItsRoute fails on the code before. The expected bytes of ops in PackedBytes.* were wrong for the longer array: each is now the former text, 8d to 8f and two members more, and the former bytes must be read as the same op; one more test has the bytes of a route.

--- a/sim/cluster_codec.c
+++ b/sim/cluster_codec.c
@@ -157,6 +157,21 @@
     return i;
 }
 
+static const char *queue_name(const json_t *queues, size_t i)
+{
+    return json_string_value(json_object_get(json_array_get(queues, i), "name"));
+}
+
+/* Inserts a queue in the order of names. */
+static void insert_queue(json_t *queues, json_t *queue)
+{
+    const char *name = json_string_value(json_object_get(queue, "name"));
+    size_t i = 0;
+    while (name && i < json_array_size(queues) && strcmp(queue_name(queues, i), name) < 0)
+        i++;
+    json_array_insert(queues, i, queue);
+}
+
 /* A patch is {"version":2,"queues":[replaced or added],"removed":[names]}. Queues are few: linear search. */
 static enum sagehitch_error patch_config(struct config *to, const struct bytes *current, const struct bytes *patch,
                                          struct validation_error *validation_error)
@@ -174,8 +189,8 @@
     json_array_foreach(json_object_get(change, "queues"), i, item)
     {
         size_t at = queue_index(queues, json_string_value(json_object_get(item, "name")));
-        if (json_array_set(queues, at, item))
-            json_array_append(queues, item);
+        json_array_remove(queues, at);
+        insert_queue(queues, item);
     }
     if (!rc) {
         json_object_set(root, "version", json_object_get(change, "version"));
--- a/sim/cluster_operator.c
+++ b/sim/cluster_operator.c
@@ -21,25 +21,54 @@
     return a->version == b->version && a->base == b->base && !strcmp(a->body, b->body);
 }
 
+/* A queue that every configuration has. prefix: the name of its path. */
+struct route {
+    const char *prefix, *service;
+    int priority;
+};
+
+enum { GUARDED_ROUTES = 3 };
+static const struct route routes[] = {
+    {"fast", "guarded", 0}, {"mid", "guarded", 1}, {"slow", "guarded", 2}, {"raw", "raw", 1}};
+
+/* The name of a route's queue. It depends on the version: queues of one service move to each other's routes, and one of
+ * their names is not used at all in most versions, and later at any of the routes. In version 1 it is that of the path.
+ */
+static const char *queue_name(int64_t version, int64_t route)
+{
+    uint64_t layout = version > 1 ? hash_mix((uint64_t)version, 1) : GUARDED_ROUTES * GUARDED_ROUTES;
+    if (route >= GUARDED_ROUTES)
+        return routes[route].prefix;
+    int64_t n = (route + (int64_t)(layout % GUARDED_ROUTES)) % GUARDED_ROUTES;
+    int64_t unused = (int64_t)(layout / GUARDED_ROUTES % (GUARDED_ROUTES + 1));
+    return n == unused ? "other" : routes[n].prefix;
+}
+
+static int by_text(const void *a, const void *b) { return strcmp(*(char *const *)a, *(char *const *)b); }
+
+/* Queues are listed in the order of their names, as they are after a patch. */
 static char *config_body(int64_t version, int64_t extra_queue, int64_t variant, int invalid)
 {
-    static const char *const names[][3] = {
-        {"fast", "guarded", "0"}, {"mid", "guarded", "1"}, {"slow", "guarded", "2"}, {"raw", "raw", "1"}};
+    char *queues[COUNT_OF(routes) + 1];
+    size_t n_queues = 0;
+    for (int i = 0; i < COUNT_OF(routes); i++)
+        queues[n_queues++] =
+            must_printf("{\"name\":\"%s\",\"host\":\"jobs.example\",\"prefix\":\"/%s/\",\"service\":\"%s\","
+                        "\"priority\":%d,\"attemptsMax\":%d,\"stretchPct\":200,\"targetMs\":1000,\"timeoutMs\":%lld}",
+                        queue_name(version, i), routes[i].prefix, routes[i].service, routes[i].priority, ATTEMPTS_MAX,
+                        (long long)(invalid == 1 && i == 2 ? 0 : 3000 + variant));
+    if (extra_queue)
+        queues[n_queues++] = must_printf(
+            "{\"name\":\"extra%lld\",\"host\":\"jobs.example\",\"prefix\":\"/extra%lld/\",\"service\":\"%s\","
+            "\"priority\":1,\"attemptsMax\":%d,\"stretchPct\":200,\"targetMs\":1000,\"timeoutMs\":3000}",
+            (long long)extra_queue, (long long)extra_queue, invalid == 2 ? "nowhere" : "guarded", ATTEMPTS_MAX);
+    qsort(queues, n_queues, sizeof *queues, by_text);
     struct bytes to = {0};
     bytes_printf(&to, "{\"version\":%lld,\"queues\":[", (long long)version);
-    for (int i = 0; i < COUNT_OF(names); i++)
-        bytes_printf(&to,
-                     "%s{\"name\":\"%s\",\"host\":\"jobs.example\",\"prefix\":\"/%s/\",\"service\":\"%s\","
-                     "\"priority\":%s,\"attemptsMax\":%d,\"stretchPct\":200,\"targetMs\":1000,\"timeoutMs\":%lld}",
-                     i ? "," : "", names[i][0], names[i][0], names[i][1], names[i][2], ATTEMPTS_MAX,
-                     (long long)(invalid == 1 && i == 2 ? 0 : 3000 + variant));
-    if (extra_queue)
-        bytes_printf(&to,
-                     ",{\"name\":\"extra%lld\",\"host\":\"jobs.example\",\"prefix\":\"/extra%lld/\","
-                     "\"service\":\"%s\",\"priority\":1,\"attemptsMax\":%d,\"stretchPct\":200,\"targetMs\":1000,"
-                     "\"timeoutMs\":3000}",
-                     (long long)extra_queue, (long long)extra_queue, invalid == 2 ? "nowhere" : "guarded",
-                     ATTEMPTS_MAX);
+    for (size_t i = 0; i < n_queues; i++) {
+        bytes_printf(&to, "%s%s", i ? "," : "", queues[i]);
+        free(queues[i]);
+    }
     bytes_printf(&to,
                  "],\"services\":[{\"name\":\"guarded\",\"healthPath\":\"/h\",\"guards\":true},"
                  "{\"name\":\"raw\",\"healthPath\":\"/h\",\"guards\":false}]%s",
@@ -61,6 +90,26 @@
     return only;
 }
 
+/* The names of the queues of version base that version to has no longer. */
+static json_t *removed_names(int64_t to, const struct op_change *base)
+{
+    json_t *names = json_array();
+    for (int64_t i = 0; i < GUARDED_ROUTES; i++) {
+        const char *name = queue_name(base->version, i);
+        int is_kept = 0;
+        for (int64_t k = 0; k < GUARDED_ROUTES; k++)
+            is_kept |= !strcmp(name, queue_name(to, k));
+        if (!is_kept)
+            json_array_append_new(names, json_string(name));
+    }
+    if (base->extra_queue) {
+        char *name = must_printf("extra%lld", (long long)base->extra_queue);
+        json_array_append_new(names, json_string(name));
+        free(name);
+    }
+    return names;
+}
+
 /* The patch that turns version base into body; NULL: the content of base is not certain, or was invalid. */
 static char *config_patch(struct cluster *cluster, int64_t base, const char *body)
 {
@@ -71,11 +120,8 @@
         return NULL;
     }
     json_object_del(to, "services");
-    if (base_change->extra_queue) {
-        char *name = must_printf("extra%lld", (long long)base_change->extra_queue);
-        json_object_set_new(to, "removed", json_pack("[s]", name));
-        free(name);
-    }
+    int64_t version = json_integer_value(json_object_get(to, "version"));
+    json_object_set_new(to, "removed", removed_names(version, base_change));
     char *patch = json_dumps(to, JSON_COMPACT);
     json_decref(to);
     return patch;
--- a/src/dispatch/leader_requests.c
+++ b/src/dispatch/leader_requests.c
@@ -90,6 +90,8 @@
     dispatch->pending_job_bytes += job_bytes;
     schema_copy(&submission_schema, &op->spec, spec);
     op->queue = must_dup(queue->name);
+    op->host = must_dup(queue->host);
+    op->prefix = must_dup(queue->prefix);
     waiter_add(dispatch, ticket, request->kind);
 }
 
--- a/src/dispatch/record_internal.h
+++ b/src/dispatch/record_internal.h
@@ -29,6 +29,10 @@
 /* record_queues.c */
 /* Updates the queues to a new configuration. */
 void record_replace_queues(struct record *record, const struct config *config);
+/* Sets *queue to the index of the queue that a submission is for: the one that it names, or if that has another route
+ * by now, the one that has the route. ERROR_NOT_FOUND: no queue has the route; ERROR_UNAVAILABLE: only a queue with a
+ * shorter prefix does, so that the caller may try again. */
+enum sagehitch_error record_submission_queue(const struct record *record, const struct job_op *op, int64_t *queue);
 /* Whether op is the submission that created the job, sent once or again. */
 int job_is_submitted_by(const struct record *record, const struct job *job, const struct job_op *op);
 /* Frees the route by which a job was accepted, if it has one of its own. */
--- a/src/dispatch/record_op.c
+++ b/src/dispatch/record_op.c
@@ -20,7 +20,9 @@
     LIST_NAMED(record_op, body.place.runs, "runs", body.place.n_runs, run_ref_schema, .kinds = KIND_BIT(OP_PLACE)),
     LIST_NAMED(record_op, body.end.ended, "ended", body.end.n_ended, run_ended_schema, .kinds = KIND_BIT(OP_END)),
     INTS_NAMED(record_op, body.forget.jobs, "jobs", body.forget.n_jobs, .kinds = KIND_BIT(OP_FORGET)),
-    PTR_NAMED(record_op, body.rules, "rules", rules_change_schema, .kinds = KIND_BIT(OP_RULES))};
+    PTR_NAMED(record_op, body.rules, "rules", rules_change_schema, .kinds = KIND_BIT(OP_RULES)),
+    STR_NAMED(record_op, body.job.host, "host", .kinds = KIND_BIT(OP_JOB)),
+    STR_NAMED(record_op, body.job.prefix, "prefix", .kinds = KIND_BIT(OP_JOB))};
 SCHEMA_TAGGED(record_op_schema, record_op, op_fields);
 
 static const struct field batch_fields[] = {LIST(record_batch, ops, n, record_op_schema)};
--- a/src/dispatch/record_op.h
+++ b/src/dispatch/record_op.h
@@ -13,10 +13,11 @@
 /* Kinds of ops. The numbers are stored in the log. */
 enum record_op_kind { OP_NONE, OP_CONFIG, OP_JOB, OP_CANCEL, OP_PLACE, OP_END, OP_FORGET, OP_RULES, OP_CONFIG_PATCH };
 
-/* OP_JOB: a job is accepted in the queue of this name. */
+/* OP_JOB: a job is accepted in the queue of this name. host and prefix: the route by which it came, NULL in ops of
+ * versions that did not name it. */
 struct job_op {
     struct job_spec spec;
-    char *queue;
+    char *queue, *host, *prefix;
 };
 /* OP_PLACE: runs start on an incarnation of this agent's executor. */
 struct place_op {
--- a/src/dispatch/record_ops.c
+++ b/src/dispatch/record_ops.c
@@ -92,11 +92,12 @@
     if (rc)
         return rc;
     struct job *job = record_job(record, op->spec.id);
-    int64_t queue = record_queue(record, op->queue);
+    int64_t queue;
     if (job)
         return job_is_submitted_by(record, job, op) ? ERROR_NONE : ERROR_KEY_TAKEN;
-    if (queue < 0 || record->queues[queue].removed)
-        return ERROR_NOT_FOUND;
+    rc = record_submission_queue(record, op, &queue);
+    if (rc)
+        return rc;
     const char *queue_name = record->queues[queue].config.name;
     struct job_rules *rules = NULL;
     rc = job_rules_resolve(record, &op->spec, queue_name, &rules);
--- a/src/dispatch/record_queues.c
+++ b/src/dispatch/record_queues.c
@@ -28,6 +28,22 @@
     return !strcasecmp(queue->host, host) && !strcmp(queue->prefix, prefix);
 }
 
+enum sagehitch_error record_submission_queue(const struct record *record, const struct job_op *op, int64_t *queue)
+{
+    const struct config *config = &record->config;
+    *queue = record_queue(record, op->queue);
+    int is_current = *queue >= 0 && !record->queues[*queue].removed;
+    if (is_current && (!op->host || queue_has_route(&record->queues[*queue].config, op->host, op->prefix)))
+        return ERROR_NONE;
+    int64_t route = op->host ? config_route(config, op->host, op->prefix) : -1;
+    if (route < 0)
+        return ERROR_NOT_FOUND;
+    if (!queue_has_route(&config->queues[route], op->host, op->prefix))
+        return ERROR_UNAVAILABLE;
+    *queue = record_queue(record, config->queues[route].name);
+    return ERROR_NONE;
+}
+
 /* --- routes of jobs -------------------------------------------------------- */
 
 static const char *route_host(const struct record *record, const struct job *job)
@@ -51,7 +67,8 @@
     const char *name = record->queues[job->queue].config.name;
     if (!job_same(job, &op->spec, name))
         return 0;
-    return !strcmp(name, op->queue);
+    return !strcmp(name, op->queue) || (op->host && !strcasecmp(route_host(record, job), op->host) &&
+                                        !strcmp(route_prefix(record, job), op->prefix));
 }
 
 /* Sets the route by which the job was accepted to copies of these texts. */
--- a/tests/unit/leader_routes_test.cc
+++ b/tests/unit/leader_routes_test.cc
@@ -194,6 +194,31 @@
     EXPECT_EQ(queue_of(2).attempts_max, 8);
 }
 
+// Guards against 404 for a job whose path always had a queue, and against a job that is put into a queue at another
+// path, since the configuration changed before its submission was committed.
+TEST_F(Routes, SubmissionThatAConfigurationOvertakesGoesByItsRoute)
+{
+    configure({{"one", "/one/"}});
+    int64_t first = send_submission(1, "/one/", "host.example"), second = send_submission(1, "/one/", "host.example");
+    configure({{"two", "/one/"}, {"one", "/three/"}});
+    EXPECT_EQ(answer_to(first), 0);
+    EXPECT_EQ(answer_to(second), 0) << "resent";
+    EXPECT_STREQ(queue_of(1).name, "two");
+    first = send_submission(2, "/one/", "host.example"), second = send_submission(1, "/one/", "host.example");
+    configure({{"three", "/one/"}});
+    EXPECT_EQ(answer_to(first), 0) << "its queue is removed";
+    EXPECT_EQ(answer_to(second), 0) << "accepted before";
+    EXPECT_STREQ(queue_of(2).name, "three");
+    expect_known(2, "/one/");
+    first = send_submission(3, "/one/", "host.example");
+    configure({{"all", "/"}});
+    EXPECT_EQ(answer_to(first), ERROR_UNAVAILABLE) << "sent again, it is for the other queue";
+    EXPECT_EQ(record_job(&rig.record, 3), nullptr);
+    first = send_submission(3, "/", "host.example");
+    configure({{"one", "/one/"}});
+    EXPECT_EQ(answer_to(first), ERROR_NOT_FOUND);
+}
+
 // Random histories of configurations: names and routes come, go, move and are swapped, with snapshots in between. A job
 // is known by the path at which it was accepted whenever any queue has that path.
 TEST_F(Routes, JobsAreKnownThroughHistoriesOfConfigurations)
--- a/tests/unit/packed_bytes_test.cc
+++ b/tests/unit/packed_bytes_test.cc
@@ -42,6 +42,23 @@
     return record_build::spec_of(-7, spec, "text");
 }
 
+// An op is an array of 15 members. Former versions wrote the first 13, without the route of a submission. Their bytes
+// are still read, as an op without a route.
+void expect_op(const record_op &op, const std::string &former)
+{
+    std::string packed = "8f" + former.substr(2) + "f6f6";
+    EXPECT_EQ(former.substr(0, 2), "8d");
+    EXPECT_EQ(hex_of(&record_op_schema, &op), packed);
+    std::vector<uint8_t> bytes_of_former;
+    for (size_t i = 0; i < former.size(); i += 2)
+        bytes_of_former.push_back((uint8_t)std::stoi(former.substr(i, 2), nullptr, 16));
+    record_op read = {};
+    ASSERT_EQ(schema_unpack(&record_op_schema, &read, bytes_of_former.data(), (int64_t)bytes_of_former.size()),
+              ERROR_NONE);
+    EXPECT_EQ(hex_of(&record_op_schema, &read), packed);
+    schema_free(&record_op_schema, &read);
+}
+
 TEST(PackedBytes, OpOfEachKind)
 {
     Batch b;
@@ -50,16 +67,15 @@
     b.place(1702, "i-1", 77, {{1, 2, 3}, {4, 5, 6}});
     b.end(1703, {{1, 2, 3, END_FAILED, "saved"}, {4, 5, 6, END_DONE, ""}});
     b.forget(1704, {8, 9});
-    EXPECT_EQ(hex_of(&record_op_schema, &b.batch.ops[0]),
+    expect_op(b.batch.ops[0],
               "8d011906a48405818961616c686f73742e6578616d706c65632f612f64776f726b000200001903e8818364776f"
               "726bf60043726177048700f680000000f6f600f600808080f6");
-    EXPECT_EQ(hex_of(&record_op_schema, &b.batch.ops[1]), "8d031906a58400808040008700f680000000f6f628f600808080f6");
-    EXPECT_EQ(hex_of(&record_op_schema, &b.batch.ops[2]),
-              "8d041906a68400808040008700f680000000f6f60063692d31184d8283010203830405068080f6");
-    EXPECT_EQ(hex_of(&record_op_schema, &b.batch.ops[3]),
+    expect_op(b.batch.ops[1], "8d031906a58400808040008700f680000000f6f628f600808080f6");
+    expect_op(b.batch.ops[2], "8d041906a68400808040008700f680000000f6f60063692d31184d8283010203830405068080f6");
+    expect_op(b.batch.ops[3],
               "8d051906a78400808040008700f680000000f6f600f6008082860001020302657361766564860004050601f680"
               "f6");
-    EXPECT_EQ(hex_of(&record_op_schema, &b.batch.ops[4]), "8d061906a88400808040008700f680000000f6f600f6008080820809f6");
+    expect_op(b.batch.ops[4], "8d061906a88400808040008700f680000000f6f600f6008080820809f6");
 }
 
 TEST(PackedBytes, OpOfAJob)
@@ -70,9 +86,22 @@
     job.spec = spec_of();
     job.spec.outlet = must_dup("north");
     job.queue = must_dup("a");
+    expect_op(op, "8d021906a984008080400087266474657874828e02186400000080000000000000f6f68e011864000000800000"
+                  "00000000f6f6000000656e6f727468616100f600808080f6");
+}
+
+TEST(PackedBytes, OpOfAJobWithItsRoute)
+{
+    Batch b;
+    record_op &op = b.more(1705);
+    job_op &job = *record_op_make_job(&op);
+    job.spec = spec_of();
+    job.queue = must_dup("a");
+    job.host = must_dup("h");
+    job.prefix = must_dup("/a/");
     EXPECT_EQ(hex_of(&record_op_schema, &op),
-              "8d021906a984008080400087266474657874828e02186400000080000000000000f6f68e011864000000800000"
-              "00000000f6f6000000656e6f727468616100f600808080f6");
+              "8f021906a984008080400087266474657874828e02186400000080000000000000f6f68e011864000000800000"
+              "00000000f6f6000000f6616100f600808080f66168632f612f");
 }
 
 TEST(PackedBytes, OpOfRules)
@@ -83,9 +112,8 @@
     schema_defaults(&rules_change_schema, &change);
     change.outlet = must_dup("north");
     change.base = 3;
-    EXPECT_EQ(hex_of(&record_op_schema, &op),
-              "8d071906aa8400808040008700f680000000f6f600f60080808084656e6f727468038400882020202020202020"
-              "88202020202020202088202020202020202084f60088202020202020202080");
+    expect_op(op, "8d071906aa8400808040008700f680000000f6f600f60080808084656e6f727468038400882020202020202020"
+                  "88202020202020202088202020202020202084f60088202020202020202080");
 }
 
 // A request as it is forwarded to the leader.
