--- a/sim/cluster_operator.c
+++ b/sim/cluster_operator.c
@@ -36,9 +36,9 @@
  */
 static const char *queue_name(int64_t version, int64_t route)
 {
-    uint64_t layout = version > 1 ? hash_mix((uint64_t)version, 1) : GUARDED_ROUTES * GUARDED_ROUTES;
-    if (route >= GUARDED_ROUTES)
+    if (version <= 1 || route >= GUARDED_ROUTES)
         return routes[route].prefix;
+    uint64_t layout = hash_mix((uint64_t)version, 1);
     int64_t n = (route + (int64_t)(layout % GUARDED_ROUTES)) % GUARDED_ROUTES;
     int64_t unused = (int64_t)(layout / GUARDED_ROUTES % (GUARDED_ROUTES + 1));
     return n == unused ? "other" : routes[n].prefix;
