--- a/sim/cluster.h
+++ b/sim/cluster.h
@@ -142,7 +142,7 @@
     struct cluster_call *calls;
     int64_t n_calls_open;
     struct tracked_job **jobs;
-    int64_t n_jobs, load_until_us, load_every_us, mix, quiet;
+    int64_t n_jobs, load_until_us, load_every_us, quiet;
     int64_t seeds[3], n_seeds;
     int64_t last_controller_fault_us, last_fault_us, clocks_jump, fault_free;
     struct host *operators_target; /* controller that gets all changes; NULL: any */
--- a/src/base/frame.h
+++ b/src/base/frame.h
@@ -49,7 +49,7 @@
     FRAME_LEADER_REPLY,
     /* bootstrap of controllers */
     FRAME_COLLECT,
-    FRAME_COLLECTED,
+    FRAME_UNUSED, /* keeps its number */
     FRAME_BOOTSTRAP_MEMBERS,
     /* controllers: a request forwarded to the leader */
     FRAME_REQUEST,
--- a/src/node/follow.c
+++ b/src/node/follow.c
@@ -163,8 +163,7 @@
 {
     int64_t number = slab_take(&node->proposals, sizeof(struct proposal)), now_ms = world_ms(node->w);
     struct proposal *proposal = slab_at(&node->proposals, number);
-    *proposal = (struct proposal){
-        .group = group, .tag = tag, .op = *op, .done = done, .until_ms = now_ms + wait_ms, .created_ms = now_ms};
+    *proposal = (struct proposal){.group = group, .tag = tag, .op = *op, .done = done, .until_ms = now_ms + wait_ms};
     *op = (struct bytes){0};
     proposal_send(node, number);
     return number;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -72,7 +72,7 @@
 /* Ends a proposal: error, or the result of applying the op. */
 typedef void proposal_done(struct node *node, int64_t tag, int error, const struct bytes *result);
 struct proposal {
-    int64_t group, tag, sent_ms, until_ms, sent_to, created_ms;
+    int64_t group, tag, sent_ms, until_ms, sent_to;
     struct bytes op;
     proposal_done *done;
 };
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -103,7 +103,6 @@
     static const int events[] = {EV_SIBLING_JOINED, EV_SIBLING_LEAVING, EV_SIBLING_SUSPECT, EV_SIBLING_DEAD};
     peer->since_ms = world_ms(peers->world);
     peer->sends_left = INFO_SENDS;
-    peers->changes++;
     peers->changed_ms = peer->since_ms;
     int event = peer->info.state == PEER_ALIVE && peer->info.leaving ? EV_SIBLING_LEAVING : events[peer->info.state];
     world_note(peers->world, event, "addr=%s boot=%lld inc=%lld", addr_text((uint64_t)peer->info.addr),
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -57,11 +57,10 @@
     int64_t n;
     int64_t seeds[8], n_seeds;
     int64_t seq, probe_turn, probe_due_ms, seed_due_ms;
-    int64_t probed, probe_seq, probe_since_ms, indirect_sent, probe_round;
+    int64_t probed, probe_seq, probe_since_ms, indirect_sent;
     struct peer_relay relays[32];
     int64_t median_offset_ms; /* the cluster's time less this process's monotonic clock */
-    int64_t changes;          /* the number of changes of state */
-    int64_t changed_ms;       /* the time of the last one */
+    int64_t changed_ms;       /* the time of the last change of state */
 };
 
 /* What a process needs to find its peers. Borrowed during the start only. */
