A test of voters that are replaced where there are too few zones

Four controllers in two zones of which one may be lost: two of three voters are in one zone, and the limit on a zone kept both from being replaced.

--- a/tests/sim/cluster_zones_test.cc
+++ b/tests/sim/cluster_zones_test.cc
@@ -186,3 +186,22 @@
         cluster.close();
     }
 }
+
+// Guards against a voter that is never replaced where there are too few zones to bear the loss of one: two of three
+// voters are in one zone. Still any one controller may be lost.
+TEST(ClusterZones, VoterIsReplacedWhereThereAreTooFewZones)
+{
+    for (uint64_t seed : seeds(6)) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        Zones cluster(seed, 4, 2);
+        cluster.replace(cluster.any_controller());
+        cluster.run(CATCH_UP_MS);
+        for (host *lost : cluster.controllers()) {
+            host_kill(lost, 1);
+            cluster.expect_acknowledged("a controller was lost");
+            host_boot(lost, 0);
+            cluster.run(CATCH_UP_MS);
+        }
+        cluster.close();
+    }
+}
