--- a/review/src-3/machines.h
+++ b/review/src-3/machines.h
@@ -108,6 +108,26 @@
             ;
         machine.pid = 0;
     }
+    // Empties the disk of a machine whose process does not run.
+    void empty_disk(const Machine &machine) const { fs::remove_all(folder / (machine.ip + ".data")); }
+    // The controller whose log tells of the newest leadership (event 2002), nullptr: none.
+    Machine *leader()
+    {
+        Machine *found = nullptr;
+        long long newest = -1;
+        for (Machine &controller : controllers) {
+            std::ifstream log(log_of(controller));
+            for (std::string line; std::getline(log, line);) {
+                size_t at = line.find("term=");
+                if (line.find("E2002") != std::string::npos && at != std::string::npos &&
+                    atoll(line.c_str() + at + 5) > newest) {
+                    newest = atoll(line.c_str() + at + 5);
+                    found = &controller;
+                }
+            }
+        }
+        return found;
+    }
     void signal(const Machine &machine, int number) const
     {
         if (machine.pid > 0)
